--- /dev/null
+++ b/cmake/mustardpondConfig.cmake
@@ -0,0 +1,5 @@
+include(CMakeFindDependencyMacro)
+find_dependency(fmt)
+find_dependency(spdlog)
+find_dependency(nlohmann_json)
+include("${CMAKE_CURRENT_LIST_DIR}/mustardpond.cmake")
--- /dev/null
+++ b/packages/config/include/config/configsnapshot.h
@@ -0,0 +1,87 @@
+/// The configuration in force at one moment, immutable, as the request path reads it.
+#pragma once
+
+#include "config/objects.h"
+#include "config/objecttable.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace mustardpond {
+
+/// Where a request goes.
+struct RoutedWork {
+    const ServiceObject *service = nullptr;
+    const WorkClass *workClass = nullptr;
+};
+
+class ConfigSnapshot
+{
+public:
+    /// The most specific route for the path and method; both members are null when there is none.
+    RoutedWork route(std::string_view path, std::string_view method) const;
+
+    const ServiceObject *service(const std::string &name) const;
+    const WorkClass *workClass(const std::string &name) const;
+    const std::vector<ApprovedRefusal> &refusals() const
+    {
+        return m_refusals;
+    }
+    const std::unordered_map<std::string, ServiceObject> &services() const
+    {
+        return m_services;
+    }
+    const std::unordered_map<std::string, WorkClass> &workClasses() const
+    {
+        return m_workClasses;
+    }
+    std::size_t routeCount() const
+    {
+        return m_routeCount;
+    }
+
+private:
+    friend class ConfigBuilder;
+
+    std::unordered_map<std::string, ServiceObject> m_services;
+    std::unordered_map<std::string, WorkClass> m_workClasses;
+    std::unordered_map<std::string, std::vector<RouteObject>> m_routes; ///< by prefix
+    std::vector<ApprovedRefusal> m_refusals;
+    std::size_t m_routeCount = 0;
+};
+
+/// Receives what a table holds that cannot be used, and why.
+using InvalidObjectHandler = std::function<void(const StoredObject &, const std::string &)>;
+
+/// Builds snapshots; an object that does not pass its check leaves the last good one of its name in force.
+class ConfigBuilder
+{
+public:
+    explicit ConfigBuilder(InvalidObjectHandler onInvalid)
+        : m_onInvalid(std::move(onInvalid))
+    {
+    }
+
+    /// Notes a newly accepted version of an object.
+    void take(const StoredObject &object);
+    std::shared_ptr<const ConfigSnapshot> build() const;
+
+private:
+    template <typename Parsed>
+    using ByName = std::unordered_map<std::string, Parsed>;
+
+    void parse(ObjectKind kind, const StoredObject &object);
+    void remove(ObjectKind kind, const std::string &name);
+
+    InvalidObjectHandler m_onInvalid;
+    ByName<ServiceObject> m_services;
+    ByName<WorkClass> m_workClasses;
+    ByName<RouteObject> m_routes;
+    ByName<RefusalObject> m_refusals;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/config/src/configsnapshot.cpp
@@ -0,0 +1,147 @@
+#include "config/configsnapshot.h"
+
+#include "foundation/errors.h"
+
+#include <algorithm>
+
+namespace mustardpond {
+
+namespace {
+
+template <typename Map>
+const typename Map::mapped_type *findIn(const Map &map, const std::string &name)
+{
+    const auto found = map.find(name);
+    return found == map.end() ? nullptr : &found->second;
+}
+
+bool takesMethod(const RouteObject &route, std::string_view method)
+{
+    return route.methods.empty()
+        || std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
+}
+
+std::string_view withoutQuery(std::string_view path)
+{
+    return path.substr(0, path.find('?'));
+}
+
+std::string_view parentOf(std::string_view path)
+{
+    const auto slash = path.rfind('/');
+    if (slash == std::string_view::npos || path == "/") {
+        return {};
+    }
+    return slash == 0 ? path.substr(0, 1) : path.substr(0, slash);
+}
+
+} // namespace
+
+RoutedWork ConfigSnapshot::route(std::string_view path, std::string_view method) const
+{
+    for (std::string_view prefix = withoutQuery(path); !prefix.empty(); prefix = parentOf(prefix)) {
+        const auto found = m_routes.find(std::string(prefix));
+        if (found == m_routes.end()) {
+            continue;
+        }
+        for (const RouteObject &route : found->second) {
+            const RoutedWork work{service(route.service), workClass(route.workClass)};
+            if (takesMethod(route, method) && work.service && work.workClass) {
+                return work;
+            }
+        }
+    }
+    return {};
+}
+
+const ServiceObject *ConfigSnapshot::service(const std::string &name) const
+{
+    return findIn(m_services, name);
+}
+
+const WorkClass *ConfigSnapshot::workClass(const std::string &name) const
+{
+    return findIn(m_workClasses, name);
+}
+
+void ConfigBuilder::take(const StoredObject &object)
+{
+    const auto kind = valueOf(OBJECT_KIND_NAMES, object.kind);
+    if (!kind) {
+        m_onInvalid(object, "its kind is not known to this version");
+        return;
+    }
+    if (object.deleted) {
+        remove(*kind, object.name);
+        return;
+    }
+    try {
+        parse(*kind, object);
+    } catch (const Exception &error) {
+        m_onInvalid(object, error.what());
+    }
+}
+
+void ConfigBuilder::parse(ObjectKind kind, const StoredObject &object)
+{
+    switch (kind) {
+    case ObjectKind::WorkClass:
+        m_workClasses[object.name] = parseWorkClass(object);
+        break;
+    case ObjectKind::Service:
+        m_services[object.name] = parseService(object);
+        break;
+    case ObjectKind::Route:
+        m_routes[object.name] = parseRoute(object);
+        break;
+    case ObjectKind::Refusal:
+        m_refusals[object.name] = parseRefusal(object);
+        break;
+    case ObjectKind::Director:
+    case ObjectKind::Node:
+        break;
+    }
+}
+
+void ConfigBuilder::remove(ObjectKind kind, const std::string &name)
+{
+    switch (kind) {
+    case ObjectKind::WorkClass:
+        m_workClasses.erase(name);
+        break;
+    case ObjectKind::Service:
+        m_services.erase(name);
+        break;
+    case ObjectKind::Route:
+        m_routes.erase(name);
+        break;
+    case ObjectKind::Refusal:
+        m_refusals.erase(name);
+        break;
+    case ObjectKind::Director:
+    case ObjectKind::Node:
+        break;
+    }
+}
+
+std::shared_ptr<const ConfigSnapshot> ConfigBuilder::build() const
+{
+    auto snapshot = std::make_shared<ConfigSnapshot>();
+    snapshot->m_services = m_services;
+    snapshot->m_workClasses = m_workClasses;
+    for (const auto &[name, route] : m_routes) {
+        snapshot->m_routes[route.prefix].push_back(route);
+    }
+    for (auto &[prefix, routes] : snapshot->m_routes) {
+        std::sort(routes.begin(), routes.end(), [](const auto &a, const auto &b) { return a.name < b.name; });
+    }
+    snapshot->m_routeCount = m_routes.size();
+    for (const auto &[name, refusal] : m_refusals) {
+        if (refusal.state == RefusalState::Approved) {
+            snapshot->m_refusals.push_back(refusal.terms);
+        }
+    }
+    return snapshot;
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/config/src/daemonsettings.cpp
@@ -0,0 +1,104 @@
+#include "config/daemonsettings.h"
+
+#include "foundation/fieldreader.h"
+
+#include <charconv>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr NumberRange COUNT_RANGE{1, 10000000};
+constexpr NumberRange BODY_RANGE_BYTES{1024, 64 * 1024 * 1024};
+constexpr NumberRange HEAD_RANGE_BYTES{1024, 1024 * 1024};
+constexpr NumberRange LIFETIME_RANGE_MS{1000, 86400000};
+constexpr NumberRange WAIT_RANGE_MS{100, 3600000};
+constexpr NumberRange COST_RANGE{0.001, 1000};
+
+Endpoint endpoint(FieldReader &reader, const std::string &name)
+{
+    return parseEndpoint(reader.text(name), name);
+}
+
+DaemonLimits limitsFrom(FieldReader reader)
+{
+    DaemonLimits limits;
+    const auto count = [&reader](const std::string &name, NumberRange range, std::size_t fallback) {
+        return static_cast<std::size_t>(reader.number(name, range, static_cast<double>(fallback)));
+    };
+    limits.callerConnections = count("callerConnections", COUNT_RANGE, limits.callerConnections);
+    limits.bufferedBodyBytes = count("bufferedBodyBytes", BODY_RANGE_BYTES, limits.bufferedBodyBytes);
+    limits.headBytes = count("headBytes", HEAD_RANGE_BYTES, limits.headBytes);
+    limits.waitingPerSlot = count("waitingPerSlot", COUNT_RANGE, limits.waitingPerSlot);
+    limits.operations = count("operations", COUNT_RANGE, limits.operations);
+    const auto time = [&reader](const std::string &name, NumberRange range, Millis fallback) {
+        return Millis(reader.number(name, range, fallback.value));
+    };
+    limits.operationLifetime = time("operationLifetimeMs", LIFETIME_RANGE_MS, limits.operationLifetime);
+    limits.callerIdle = time("callerIdleMs", WAIT_RANGE_MS, limits.callerIdle);
+    limits.stopGrace = time("stopGraceMs", WAIT_RANGE_MS, limits.stopGrace);
+    reader.rejectOthers();
+    return limits;
+}
+
+} // namespace
+
+std::string toString(const Endpoint &endpoint)
+{
+    return endpoint.address + ":" + std::to_string(endpoint.port);
+}
+
+Endpoint parseEndpoint(const std::string &text, const std::string &field)
+{
+    const std::string remedy = "write an IP address and a port, such as \"127.0.0.1:8080\"";
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0) {
+        throw InvalidField(field, '"' + text + '"', remedy);
+    }
+    Endpoint endpoint;
+    endpoint.address = text.substr(0, colon);
+    const char *last = text.data() + text.size();
+    const auto result = std::from_chars(text.data() + colon + 1, last, endpoint.port);
+    if (result.ec != std::errc() || result.ptr != last || endpoint.port == 0) {
+        throw InvalidField(field, '"' + text + '"', remedy);
+    }
+    return endpoint;
+}
+
+DaemonSettings parseDaemonSettings(const std::string &text, const std::string &source)
+{
+    const nlohmann::json document = parseJson(text, source);
+    FieldReader reader(document, "");
+    DaemonSettings settings;
+    settings.node = reader.text("node");
+    settings.region = reader.text("region");
+    settings.dataCentre = reader.text("dataCentre");
+    settings.caller = endpoint(reader, "caller");
+    settings.inner = endpoint(reader, "inner");
+    settings.advertisedInner =
+        parseEndpoint(reader.text("advertisedInner", toString(settings.inner)), "advertisedInner");
+    settings.local = endpoint(reader, "local");
+    settings.bindAddress = reader.text("bindAddress", "");
+    settings.platform = endpoint(reader, "platform");
+    for (const std::string &seed : reader.texts("seeds")) {
+        settings.seeds.push_back(parseEndpoint(seed, "seeds"));
+    }
+    settings.lateDetectionCost = reader.number("lateDetectionCost", COST_RANGE, settings.lateDetectionCost);
+    if (reader.has("log")) {
+        settings.logFormat = reader.choice("log", LOG_FORMAT_NAMES);
+    } else {
+        reader.text("log", "");
+    }
+    if (reader.has("limits")) {
+        settings.limits = limitsFrom(reader.object("limits"));
+    }
+    reader.rejectOthers();
+    return settings;
+}
+
+DaemonSettings readDaemonSettings(const std::string &path)
+{
+    return parseDaemonSettings(readJsonFile(path).dump(), path);
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/config/src/objects.cpp
@@ -0,0 +1,154 @@
+#include "config/objects.h"
+
+#include "foundation/fieldreader.h"
+
+namespace mustardpond {
+
+namespace {
+
+constexpr NumberRange LATENCY_RANGE_MS{1, 600000};
+constexpr NumberRange DEADLINE_RANGE_MS{10, 3600000};
+constexpr NumberRange SUCCESS_RANGE{0.5, 0.999999};
+constexpr NumberRange SHARE_RANGE{0, 1};
+constexpr NumberRange WALL_CLOCK_RANGE_MS{0, 1e15};
+
+nlohmann::json documentOf(const StoredObject &object)
+{
+    return parseJson(object.value, object.kind + "/" + object.name);
+}
+
+} // namespace
+
+WorkClass parseWorkClass(const StoredObject &object)
+{
+    const nlohmann::json document = documentOf(object);
+    FieldReader reader(document, "");
+    WorkClass workClass;
+    workClass.name = object.name;
+    workClass.kind = reader.choice("kind", WORK_KIND_NAMES);
+    workClass.latencyTarget = Millis(reader.number("latencyTargetMs", LATENCY_RANGE_MS));
+    workClass.successTarget = reader.number("successTarget", SUCCESS_RANGE);
+    workClass.deadline = Millis(reader.number("deadlineMs", DEADLINE_RANGE_MS));
+    if (workClass.deadline < workClass.latencyTarget) {
+        reader.fail("deadlineMs", "write at least the value of latencyTargetMs");
+    }
+    reader.rejectOthers();
+    return workClass;
+}
+
+ServiceObject parseService(const StoredObject &object)
+{
+    const nlohmann::json document = documentOf(object);
+    FieldReader reader(document, "");
+    ServiceObject service;
+    service.name = object.name;
+    service.floor = reader.number("floor", SHARE_RANGE);
+    service.director = reader.text("director");
+    reader.rejectOthers();
+    return service;
+}
+
+RouteObject parseRoute(const StoredObject &object)
+{
+    const nlohmann::json document = documentOf(object);
+    FieldReader reader(document, "");
+    RouteObject route;
+    route.name = object.name;
+    route.prefix = reader.text("prefix");
+    if (route.prefix.front() != '/') {
+        reader.fail("prefix", "start it with '/'");
+    }
+    if (route.prefix.size() > 1 && route.prefix.back() == '/') {
+        route.prefix.pop_back();
+    }
+    route.methods = reader.texts("methods");
+    route.service = reader.text("service");
+    route.workClass = reader.text("class");
+    reader.rejectOthers();
+    return route;
+}
+
+DirectorObject parseDirector(const StoredObject &object)
+{
+    const nlohmann::json document = documentOf(object);
+    FieldReader reader(document, "");
+    DirectorObject director;
+    director.name = object.name;
+    director.contact = reader.text("contact");
+    reader.rejectOthers();
+    return director;
+}
+
+RefusalObject parseRefusal(const StoredObject &object)
+{
+    const nlohmann::json document = documentOf(object);
+    FieldReader reader(document, "");
+    RefusalObject refusal;
+    refusal.terms.id = object.name;
+    refusal.terms.service = reader.text("service");
+    refusal.terms.workClass = reader.text("class");
+    refusal.terms.region = reader.text("region", "");
+    refusal.terms.share = reader.number("share", SHARE_RANGE);
+    refusal.terms.expires = Millis(reader.number("expiresMs", WALL_CLOCK_RANGE_MS));
+    refusal.terms.director = reader.text("director");
+    refusal.state = reader.choice("state", REFUSAL_STATE_NAMES);
+    refusal.reason = reader.text("reason", "");
+    reader.rejectOthers();
+    return refusal;
+}
+
+NodeObject parseNode(const StoredObject &object)
+{
+    const nlohmann::json document = documentOf(object);
+    FieldReader reader(document, "");
+    NodeObject node;
+    node.name = object.name;
+    node.inner = reader.text("inner");
+    return node;
+}
+
+std::string toJsonText(const RefusalObject &refusal)
+{
+    nlohmann::json document = {
+        {"service", refusal.terms.service},   {"class", refusal.terms.workClass},
+        {"share", refusal.terms.share},       {"expiresMs", refusal.terms.expires.value},
+        {"director", refusal.terms.director}, {"state", nameOf(REFUSAL_STATE_NAMES, refusal.state)},
+    };
+    if (!refusal.terms.region.empty()) {
+        document["region"] = refusal.terms.region;
+    }
+    if (!refusal.reason.empty()) {
+        document["reason"] = refusal.reason;
+    }
+    return document.dump();
+}
+
+void checkObject(const StoredObject &object)
+{
+    const auto kind = valueOf(OBJECT_KIND_NAMES, object.kind);
+    if (!kind) {
+        throw InvalidField("kind", object.kind, "write one of " + listNames(OBJECT_KIND_NAMES));
+    }
+    switch (*kind) {
+    case ObjectKind::WorkClass:
+        parseWorkClass(object);
+        break;
+    case ObjectKind::Service:
+        parseService(object);
+        break;
+    case ObjectKind::Route:
+        parseRoute(object);
+        break;
+    case ObjectKind::Director:
+        parseDirector(object);
+        break;
+    case ObjectKind::Refusal:
+        parseRefusal(object);
+        break;
+    case ObjectKind::Node:
+        parseNode(object);
+        break;
+    }
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/config/src/objecttable.cpp
@@ -0,0 +1,84 @@
+#include "config/objecttable.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace mustardpond {
+
+namespace {
+
+std::uint64_t hashOf(const std::string &key, std::uint64_t version)
+{
+    return XXH64(key.data(), key.size(), version);
+}
+
+} // namespace
+
+std::string ObjectTable::keyOf(const std::string &kind, const std::string &name)
+{
+    return kind + "/" + name;
+}
+
+const StoredObject *ObjectTable::byKey(const std::string &key) const
+{
+    const auto found = m_objects.find(key);
+    return found == m_objects.end() ? nullptr : &found->second;
+}
+
+bool ObjectTable::apply(const StoredObject &object)
+{
+    const std::string key = keyOf(object.kind, object.name);
+    const auto found = m_objects.find(key);
+    if (found == m_objects.end()) {
+        m_objects.emplace(key, object);
+        m_digest ^= hashOf(key, object.version);
+        return true;
+    }
+    if (object.version <= found->second.version) {
+        return false;
+    }
+    m_digest ^= hashOf(key, found->second.version);
+    m_digest ^= hashOf(key, object.version);
+    found->second = object;
+    return true;
+}
+
+std::uint64_t ObjectTable::version(const std::string &kind, const std::string &name) const
+{
+    const auto found = m_objects.find(keyOf(kind, name));
+    return found == m_objects.end() ? 0 : found->second.version;
+}
+
+std::optional<StoredObject> ObjectTable::find(const std::string &kind, const std::string &name) const
+{
+    const auto found = m_objects.find(keyOf(kind, name));
+    if (found == m_objects.end() || found->second.deleted) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::vector<StoredObject> ObjectTable::ofKind(const std::string &kind) const
+{
+    std::vector<StoredObject> list;
+    for (const auto &[key, object] : m_objects) {
+        if (object.kind == kind && !object.deleted) {
+            list.push_back(object);
+        }
+    }
+    std::sort(list.begin(), list.end(), [](const auto &a, const auto &b) { return a.name < b.name; });
+    return list;
+}
+
+std::vector<StoredObject> ObjectTable::all() const
+{
+    std::vector<StoredObject> list;
+    list.reserve(m_objects.size());
+    for (const auto &[key, object] : m_objects) {
+        list.push_back(object);
+    }
+    return list;
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/bodysource.h
@@ -0,0 +1,19 @@
+/// The part of a caller's body that has not been read yet.
+#pragma once
+
+#include "net/net.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace mustardpond {
+
+class BodySource
+{
+public:
+    virtual ~BodySource() = default;
+    /// Reads the next piece. False when it was the last one. Throws boost::system::system_error.
+    virtual bool next(std::vector<std::uint8_t> &piece, Yield yield) = 0;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/callersession.cpp
@@ -0,0 +1,559 @@
+#include "callersession.h"
+
+#include "foundation/errors.h"
+#include "foundation/events.h"
+#include "gaterun.h"
+#include "router.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr const char OPERATIONS_PATH[] = "/-/operations";
+constexpr const char OPERATION_FIELD[] = "Operation-Id";
+constexpr const char OUTCOME_FIELD[] = "Outcome";
+constexpr const char ORGANISATION_FIELD[] = "Organisation";
+constexpr const char DEADLINE_FIELD[] = "Deadline-Ms";
+constexpr const char IDEMPOTENCY_FIELD[] = "Idempotency-Key";
+constexpr std::size_t PIECE_BYTES = 64 * 1024;
+constexpr Millis WRITE_TIMEOUT{30000};
+constexpr Millis DRAIN_TIME{500};
+constexpr Millis OPEN_TIMEOUT{500};
+constexpr Millis OPEN_DEADLINE{5000};
+constexpr Millis OPEN_PAUSE{20};
+constexpr Millis CHUNK_TIMEOUT{30000};
+
+bool isOwnField(const std::string &name)
+{
+    const beast::string_view text(name);
+    return beast::iequals(text, OPERATION_FIELD) || beast::iequals(text, DEADLINE_FIELD)
+        || beast::iequals(text, OUTCOME_FIELD);
+}
+
+bool isHopByHop(http::field name)
+{
+    switch (name) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+    case http::field::expect:
+        return true;
+    default:
+        return false;
+    }
+}
+
+http::status statusOf(const wire::AnswerT &answer)
+{
+    if (answer.outcome == wire::Outcome::Unknown) {
+        return http::status::gateway_timeout;
+    }
+    switch (answer.reason) {
+    case wire::NotRunReason::Mismatch:
+        return http::status::conflict;
+    case wire::NotRunReason::Closed:
+        return http::status::gone;
+    case wire::NotRunReason::Quarantined:
+        return http::status::unprocessable_entity;
+    default:
+        return http::status::service_unavailable;
+    }
+}
+
+/// Counts a request while it is being served.
+class InFlight
+{
+public:
+    explicit InFlight(std::size_t &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~InFlight()
+    {
+        --m_count;
+    }
+    InFlight(const InFlight &) = delete;
+    InFlight &operator=(const InFlight &) = delete;
+
+private:
+    std::size_t &m_count;
+};
+
+} // namespace
+
+/// Reads the rest of a large body from the caller's connection.
+class CallerBody : public BodySource
+{
+public:
+    explicit CallerBody(CallerSession &session)
+        : m_session(session)
+    {
+    }
+
+    bool next(std::vector<std::uint8_t> &piece, Yield yield) override
+    {
+        auto &parser = *m_session.m_parser;
+        piece.resize(PIECE_BYTES);
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        m_session.m_stream.expires_after(toDuration(m_session.m_router.settings().limits.callerIdle));
+        ErrorCode error;
+        while (parser.get().body().size == piece.size() && !parser.is_done()) {
+            http::async_read_some(m_session.m_stream, m_session.m_buffer, parser, yield[error]);
+            if (error == http::error::need_buffer) {
+                break;
+            }
+            if (error) {
+                throw boost::system::system_error(error);
+            }
+        }
+        piece.resize(piece.size() - parser.get().body().size);
+        return !parser.is_done();
+    }
+
+private:
+    CallerSession &m_session;
+};
+
+CallerSession::CallerSession(Router &router, tcp::socket socket)
+    : m_router(router)
+    , m_stream(std::move(socket))
+{
+    ErrorCode ignored;
+    m_stream.socket().set_option(tcp::no_delay(true), ignored);
+}
+
+void CallerSession::run(Yield yield)
+{
+    while (m_open && readHead(yield)) {
+        const InFlight count(m_router.inFlight());
+        handle(yield);
+    }
+    drain(yield);
+}
+
+void CallerSession::drain(Yield yield)
+{
+    // Closing with unread bytes would reset the connection and could destroy the last reply.
+    ErrorCode error;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    std::vector<char> scratch(PIECE_BYTES);
+    m_stream.expires_after(toDuration(DRAIN_TIME));
+    while (!error) {
+        m_stream.async_read_some(asio::buffer(scratch), yield[error]);
+    }
+}
+
+bool CallerSession::readHead(Yield yield)
+{
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_router.settings().limits.headBytes));
+    m_parser->body_limit(UNLIMITED_BYTES);
+    m_stream.expires_after(toDuration(m_router.settings().limits.callerIdle));
+    ErrorCode error;
+    http::async_read_header(m_stream, m_buffer, *m_parser, yield[error]);
+    if (!error) {
+        return true;
+    }
+    if (error != http::error::end_of_stream) {
+        rejectMalformed(error, yield);
+    }
+    return false;
+}
+
+void CallerSession::rejectMalformed(ErrorCode error, Yield yield)
+{
+    m_open = false;
+    if (error == http::error::header_limit) {
+        return replyProblem(http::status::request_header_fields_too_large,
+                            "the head of the request is too large: send fewer or shorter header fields", yield);
+    }
+    if (error == beast::error::timeout) {
+        if (m_buffer.size() == 0) {
+            return;
+        }
+        return replyProblem(http::status::request_timeout, "the request did not arrive in time: send it faster", yield);
+    }
+    if (error.category() == http::make_error_code(http::error::bad_method).category()) {
+        replyProblem(http::status::bad_request, "not a valid HTTP/1.1 request (" + error.message() + "): correct it",
+                     yield);
+    }
+}
+
+void CallerSession::handle(Yield yield)
+{
+    const auto &head = m_parser->get();
+    if (beast::iequals(head[http::field::expect], "100-continue")) {
+        http::response<http::empty_body> proceed(http::status::continue_, head.version());
+        m_stream.expires_after(toDuration(WRITE_TIMEOUT));
+        http::async_write(m_stream, proceed, yield);
+    }
+    if (head.target() == OPERATIONS_PATH) {
+        return openOperation(yield);
+    }
+    proxy(yield);
+}
+
+void CallerSession::openOperation(Yield yield)
+{
+    CallerRequest request;
+    if (!readBody(request, yield)) {
+        return;
+    }
+    std::string path;
+    std::string method;
+    try {
+        const auto document = nlohmann::json::parse(request.body.begin(), request.body.end());
+        path = document.at("path").get<std::string>();
+        method = document.value("method", "POST");
+    } catch (const nlohmann::json::exception &) {
+        return replyProblem(http::status::bad_request,
+                            R"(send a JSON object such as {"path": "/muhur/seals", "method": "POST"})", yield);
+    }
+    if (!m_router.awaitConfiguration(OPEN_DEADLINE, yield)) {
+        return replyProblem(http::status::service_unavailable, "no configuration has been received yet", yield);
+    }
+    const auto config = m_router.view().config;
+    const RoutedWork work = config->route(path, method);
+    if (!work.service) {
+        return replyProblem(http::status::not_found, "no route for " + method + " " + path, yield);
+    }
+    request.service = work.service->name;
+    request.workClass = *work.workClass;
+    request.organisation = field(ORGANISATION_FIELD);
+    if (refuse(request, yield)) {
+        return;
+    }
+    const Millis deadline = m_router.clock().now() + OPEN_DEADLINE;
+    std::set<std::string> tried;
+    while (m_router.clock().now() < deadline) {
+        const UpstreamRef *chosen =
+            m_router.table().choose(request.service, request.workClass, tried, m_router.clock().now());
+        if (!chosen) {
+            tried.clear();
+            asio::steady_timer timer(m_stream.get_executor(), toDuration(OPEN_PAUSE));
+            timer.async_wait(yield);
+            continue;
+        }
+        const UpstreamRef ref = *chosen;
+        tried.insert(ref.id);
+        try {
+            auto channel = m_router.pool().take(ref.gate, OPEN_TIMEOUT, yield);
+            wire::OpenOperationT open;
+            open.request = ++m_router.dispatchContext().nextRequest;
+            open.service = request.service;
+            open.organisation = request.organisation;
+            const std::uint64_t number = open.request;
+            channel->send(packMessage(std::move(open)), OPEN_TIMEOUT, yield);
+            const auto reply = channel->receiveFor<wire::OperationOpenedT>(number, OPEN_TIMEOUT, yield);
+            m_router.pool().giveBack(ref.gate, std::move(channel));
+            if (reply.operation.empty()) {
+                continue;
+            }
+            http::response<http::string_body> response(http::status::created, 11);
+            response.set(http::field::content_type, "application/json");
+            response.body() = nlohmann::json({{"operation", reply.operation}}).dump();
+            return replyText(response, yield);
+        } catch (const boost::system::system_error &) {
+            m_router.pool().drop(ref.gate);
+        }
+    }
+    replyProblem(http::status::service_unavailable, "no gate could open an operation: try again", yield);
+}
+
+void CallerSession::proxy(Yield yield)
+{
+    const Millis startedAt = m_router.clock().now();
+    CallerRequest request;
+    if (!classify(request, yield) || !readBody(request, yield)) {
+        return;
+    }
+    if (refuse(request, yield)) {
+        return;
+    }
+    CallerBody rest(*this);
+    if (!m_parser->is_done()) {
+        request.source = &rest;
+        request.bodyBytes = m_parser->content_length() ? *m_parser->content_length() : 0;
+    }
+    m_stream.expires_never();
+    Dispatch dispatch(m_router.dispatchContext(), request);
+    DispatchResult result = dispatch.run(yield);
+    reply(request, std::move(result), startedAt, yield);
+}
+
+bool CallerSession::classify(CallerRequest &request, Yield yield)
+{
+    const auto &head = m_parser->get();
+    if (!field(IDEMPOTENCY_FIELD).empty()) {
+        m_open = false;
+        replyProblem(http::status::bad_request,
+                     "Idempotency-Key is not supported: open an operation with POST /-/operations and send its id as "
+                     "Operation-Id",
+                     yield);
+        return false;
+    }
+    if (!m_router.awaitConfiguration(OPEN_DEADLINE, yield)) {
+        m_open = false;
+        replyProblem(http::status::service_unavailable, "no configuration has been received yet", yield);
+        return false;
+    }
+    const auto config = m_router.view().config;
+    const RoutedWork work = config->route({head.target().data(), head.target().size()},
+                                          {head.method_string().data(), head.method_string().size()});
+    if (!work.service) {
+        m_open = false;
+        replyProblem(http::status::not_found, "no route for " + std::string(head.target()), yield);
+        return false;
+    }
+    request.service = work.service->name;
+    request.workClass = *work.workClass;
+    request.organisation = field(ORGANISATION_FIELD);
+    request.operation = field(OPERATION_FIELD);
+    request.method = std::string(head.method_string());
+    request.target = std::string(head.target());
+    request.deadline = m_router.clock().now() + deadlineFor(request.workClass);
+    takeHeaders(request);
+    return true;
+}
+
+bool CallerSession::refuse(const CallerRequest &request, Yield yield)
+{
+    if (!request.operation.empty()) {
+        return false;
+    }
+    const RefusalQuery query{request.service, request.workClass.name, m_router.settings().region,
+                             m_router.random().unit()};
+    const auto config = m_router.view().config;
+    const ApprovedRefusal *refusal = findRefusal(config->refusals(), query, wallClockNow());
+    if (!refusal) {
+        return false;
+    }
+    m_open = m_open && m_parser->is_done();
+    wire::AnswerT answer;
+    answer.outcome = wire::Outcome::NotRun;
+    answer.reason = wire::NotRunReason::Refused;
+    answer.detail = "refused under " + refusal->id + ", approved by " + refusal->director;
+    ServedRequest served;
+    served.service = request.service;
+    served.workClass = request.workClass.name;
+    served.refused = true;
+    m_router.burn().add(served, m_router.clock().now());
+    replyOutcome(http::status::service_unavailable, answer, yield);
+    return true;
+}
+
+bool CallerSession::readBody(CallerRequest &request, Yield yield)
+{
+    const std::size_t limit = m_router.settings().limits.bufferedBodyBytes;
+    CallerBody body(*this);
+    std::vector<std::uint8_t> piece;
+    try {
+        while (!m_parser->is_done() && request.body.size() < limit) {
+            body.next(piece, yield);
+            request.body.insert(request.body.end(), piece.begin(), piece.end());
+        }
+    } catch (const boost::system::system_error &error) {
+        m_open = false;
+        const bool slow = error.code() == beast::error::timeout;
+        replyProblem(slow ? http::status::request_timeout : http::status::bad_request,
+                     slow ? "the body did not arrive in time: send it faster"
+                          : "the body is incomplete (" + error.code().message() + "): send it whole",
+                     yield);
+        return false;
+    }
+    return true;
+}
+
+void CallerSession::takeHeaders(CallerRequest &request) const
+{
+    for (const auto &entry : m_parser->get()) {
+        const std::string name(entry.name_string());
+        if (isHopByHop(entry.name()) || isOwnField(name)) {
+            continue;
+        }
+        auto header = std::make_unique<wire::HeaderT>();
+        header->name = name;
+        header->value = std::string(entry.value());
+        request.headers.push_back(std::move(header));
+    }
+}
+
+void CallerSession::reply(const CallerRequest &request, DispatchResult result, Millis startedAt, Yield yield)
+{
+    record(request, result, startedAt);
+    if (request.source && !m_parser->is_done()) {
+        m_open = false;
+    }
+    if (result.held) {
+        m_router.reportHeld(request.service, request.workClass.name);
+    }
+    if (result.answer.outcome == wire::Outcome::Ran) {
+        return replyRan(result, yield);
+    }
+    replyOutcome(statusOf(result.answer), result.answer, yield);
+}
+
+void CallerSession::record(const CallerRequest &request, const DispatchResult &result, Millis startedAt)
+{
+    const Millis now = m_router.clock().now();
+    const Millis latency = now - startedAt;
+    const auto outcome = static_cast<Outcome>(result.answer.outcome);
+    m_router.metrics().addRequest(
+        {request.service, request.workClass.name, outcome, latency, Millis(result.answer.upstreamMs)});
+    constexpr int SERVER_ERROR = 500;
+    ServedRequest served;
+    served.service = request.service;
+    served.workClass = request.workClass.name;
+    served.good =
+        outcome == Outcome::Ran && result.answer.status < SERVER_ERROR && latency <= request.workClass.latencyTarget;
+    served.retried = result.retried;
+    served.spilled = result.spilled;
+    served.held = result.held;
+    m_router.burn().add(served, now);
+}
+
+void CallerSession::replyRan(DispatchResult &result, Yield yield)
+{
+    const wire::AnswerT &answer = result.answer;
+    http::response<http::buffer_body> response;
+    response.result(answer.status);
+    response.version(m_parser->get().version());
+    for (const auto &header : answer.headers) {
+        response.insert(header->name, header->value);
+    }
+    response.set(OUTCOME_FIELD, "ran");
+    response.set("Served-By", result.upstream.empty() ? "operation" : result.upstream);
+    response.keep_alive(keepAlive());
+    const bool isHead = m_parser->get().method() == http::verb::head;
+    if (answer.streamed) {
+        return streamAnswer(result, response, yield);
+    }
+    const bool bodyless = answer.status == 204 || answer.status == 304;
+    if (!isHead && !bodyless) {
+        response.content_length(answer.body.size());
+    }
+    response.body().data = const_cast<std::uint8_t *>(answer.body.data());
+    response.body().size = isHead ? 0 : answer.body.size();
+    response.body().more = false;
+    m_stream.expires_after(toDuration(WRITE_TIMEOUT));
+    http::async_write(m_stream, response, yield);
+    m_open = m_open && response.keep_alive();
+}
+
+void CallerSession::streamAnswer(DispatchResult &result, http::response<http::buffer_body> &response, Yield yield)
+{
+    const std::uint64_t number = result.answer.request;
+    std::vector<std::uint8_t> piece = std::move(result.answer.body);
+    const bool lengthKnown = response.has_content_length();
+    if (!lengthKnown && response.version() >= 11) {
+        response.chunked(true);
+    }
+    response.body().data = nullptr;
+    response.body().more = true;
+    http::response_serializer<http::buffer_body> serializer(response);
+    XXH3_state_t *state = XXH3_createState();
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> owner(state, XXH3_freeState);
+    XXH3_64bits_reset(state);
+    try {
+        m_stream.expires_after(toDuration(WRITE_TIMEOUT));
+        http::async_write_header(m_stream, serializer, yield);
+        for (bool last = false; true;) {
+            XXH3_64bits_update(state, piece.data(), piece.size());
+            response.body().data = piece.data();
+            response.body().size = piece.size();
+            response.body().more = !last;
+            m_stream.expires_after(toDuration(WRITE_TIMEOUT));
+            ErrorCode error;
+            http::async_write(m_stream, serializer, yield[error]);
+            if (error && error != http::error::need_buffer) {
+                throw boost::system::system_error(error);
+            }
+            if (last) {
+                break;
+            }
+            auto chunk = result.channel->receiveFor<wire::BodyChunkT>(number, CHUNK_TIMEOUT, yield);
+            piece = std::move(chunk.body);
+            last = chunk.last;
+            if (last) {
+                XXH3_64bits_update(state, piece.data(), piece.size());
+                if (XXH3_64bits_digest(state) != chunk.digest) {
+                    throw BadFrame("a streamed answer does not match its digest: check the link between the daemons");
+                }
+            }
+        }
+    } catch (const std::exception &) {
+        // A reset tells the caller that the answer is not whole, whatever its framing.
+        logEvent(Event::AnswerDiscarded, {{"upstream", result.upstream}});
+        ErrorCode ignored;
+        m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        m_stream.socket().close(ignored);
+        m_open = false;
+        return;
+    }
+    m_open = m_open && response.keep_alive() && (lengthKnown || response.chunked());
+}
+
+void CallerSession::replyProblem(http::status status, const std::string &detail, Yield yield)
+{
+    wire::AnswerT answer;
+    answer.outcome = wire::Outcome::NotRun;
+    answer.detail = detail;
+    replyOutcome(status, answer, yield);
+}
+
+void CallerSession::replyOutcome(http::status status, const wire::AnswerT &answer, Yield yield)
+{
+    const auto outcome = nameOf(OUTCOME_NAMES, static_cast<Outcome>(answer.outcome));
+    const auto reason = nameOf(NOT_RUN_REASON_NAMES, static_cast<NotRunReason>(answer.reason));
+    http::response<http::string_body> response(status, 11);
+    response.set(http::field::content_type, "application/json");
+    response.set(OUTCOME_FIELD, beast::string_view(outcome.data(), outcome.size()));
+    const nlohmann::json document = {{"outcome", outcome}, {"reason", reason}, {"detail", answer.detail}};
+    response.body() = document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    replyText(response, yield);
+}
+
+void CallerSession::replyText(http::response<http::string_body> &response, Yield yield)
+{
+    response.keep_alive(keepAlive());
+    response.prepare_payload();
+    m_stream.expires_after(toDuration(WRITE_TIMEOUT));
+    ErrorCode error;
+    http::async_write(m_stream, response, yield[error]);
+    m_open = m_open && !error && response.keep_alive();
+}
+
+std::string CallerSession::field(const std::string &name) const
+{
+    return std::string(m_parser->get()[name]);
+}
+
+Millis CallerSession::deadlineFor(const WorkClass &workClass) const
+{
+    const std::string text = field(DEADLINE_FIELD);
+    std::int64_t wanted = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), wanted);
+    const bool valid = !text.empty() && result.ec == std::errc() && wanted > 0;
+    const Millis asked(static_cast<double>(wanted));
+    return valid ? Millis(std::min(asked.value, workClass.deadline.value)) : workClass.deadline;
+}
+
+bool CallerSession::keepAlive() const
+{
+    return m_open && m_parser->is_done() && m_parser->get().keep_alive() && !m_router.isLeaving();
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/controlplane.cpp
@@ -0,0 +1,104 @@
+#include "controlplane.h"
+
+#include "controlmessages.h"
+#include "gossipsender.h"
+#include "memberactor.h"
+#include "storeactor.h"
+
+namespace mustardpond {
+
+namespace {
+
+caf::actor_system_config &configure(caf::actor_system_config &config)
+{
+    // Work sharing blocks idle workers instead of polling; one worker is enough for control.
+    config.set("scheduler.policy", caf::atom("sharing"));
+    config.set("scheduler.max-threads", 1);
+    return config;
+}
+
+} // namespace
+
+struct ControlPlane::Actors {
+    Actors(asio::io_context &io, const DaemonSettings &daemonSettings, Incarnation newIncarnation)
+        : context(io)
+        , settings(daemonSettings)
+        , incarnation(newIncarnation)
+        , system(configure(config))
+        , sender(std::make_shared<GossipSender>(io, daemonSettings.bindAddress))
+    {
+    }
+
+    asio::io_context &context;
+    DaemonSettings settings;
+    Incarnation incarnation;
+    caf::actor_system_config config;
+    caf::actor_system system;
+    std::shared_ptr<GossipSender> sender;
+    ViewHandler onView;
+    caf::actor members;
+    caf::actor store;
+};
+
+ControlPlane::ControlPlane(asio::io_context &context, const DaemonSettings &settings, Incarnation incarnation)
+    : m_actors(std::make_unique<Actors>(context, settings, incarnation))
+{
+}
+
+ControlPlane::~ControlPlane()
+{
+    stop();
+}
+
+void ControlPlane::onView(ViewHandler handler)
+{
+    m_actors->onView = std::move(handler);
+}
+
+void ControlPlane::start()
+{
+    MemberActorOutput output;
+    output.sendGossip = [actors = m_actors.get()](std::vector<OutgoingGossip> messages) {
+        auto shared = std::make_shared<std::vector<OutgoingGossip>>(std::move(messages));
+        asio::post(actors->context, [sender = actors->sender, shared] { sender->send(std::move(*shared)); });
+    };
+    output.publish = [actors = m_actors.get()](std::shared_ptr<const FleetView> view) {
+        asio::post(actors->context, [handler = actors->onView, view] { handler(view); });
+    };
+    m_actors->members = m_actors->system.spawn(memberActor, m_actors->settings, m_actors->incarnation, output);
+    m_actors->store = m_actors->system.spawn<caf::detached>(storeActor, m_actors->settings, m_actors->members);
+    caf::anon_send(m_actors->members, m_actors->store);
+}
+
+void ControlPlane::stop()
+{
+    if (!m_actors->members) {
+        return;
+    }
+    caf::anon_send_exit(m_actors->members, caf::exit_reason::user_shutdown);
+    caf::anon_send_exit(m_actors->store, caf::exit_reason::user_shutdown);
+    m_actors->members = nullptr;
+    m_actors->store = nullptr;
+}
+
+void ControlPlane::receiveGossip(std::shared_ptr<const wire::GossipT> message)
+{
+    caf::anon_send(m_actors->members, GossipReceived{std::move(message)});
+}
+
+void ControlPlane::setUpstreams(std::vector<UpstreamInfo> upstreams)
+{
+    caf::anon_send(m_actors->members, UpstreamsChanged{std::move(upstreams)});
+}
+
+void ControlPlane::leave()
+{
+    caf::anon_send(m_actors->members, LeaveRequested{});
+}
+
+void ControlPlane::requestRefusal(const RefusalObject &refusal)
+{
+    caf::anon_send(m_actors->store, RefusalWanted{refusal});
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/controlplane.h
@@ -0,0 +1,45 @@
+/// The control side of a daemon: membership, configuration and the platform, as actors beside the request path.
+#pragma once
+
+#include "config/daemonsettings.h"
+#include "config/objects.h"
+#include "fleetview.h"
+#include "net/net.h"
+#include "wire/generated/frames_generated.h"
+
+#include "foundation/kernel.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace mustardpond {
+
+class ControlPlane : public Service
+{
+public:
+    /// Receives each new view, on the request path's thread.
+    using ViewHandler = std::function<void(std::shared_ptr<const FleetView>)>;
+
+    ControlPlane(asio::io_context &context, const DaemonSettings &settings, Incarnation incarnation);
+    ~ControlPlane() override;
+    ControlPlane(const ControlPlane &) = delete;
+    ControlPlane &operator=(const ControlPlane &) = delete;
+
+    void onView(ViewHandler handler);
+    void start() override;
+    void stop() override;
+
+    /// All of these return at once.
+    void receiveGossip(std::shared_ptr<const wire::GossipT> message);
+    void setUpstreams(std::vector<UpstreamInfo> upstreams);
+    void leave();
+    /// Asks for a director's approval of a refusal; one request at a time is kept per service and class.
+    void requestRefusal(const RefusalObject &refusal);
+
+private:
+    struct Actors;
+    std::unique_ptr<Actors> m_actors;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/daemon.cpp
@@ -0,0 +1,116 @@
+#include "daemon.h"
+
+#include "foundation/events.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <set>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr const char GATE[] = "gate";
+constexpr const char ROUTER[] = "router";
+constexpr const char CONTROL[] = "control";
+constexpr const char LOCAL[] = "local";
+constexpr Millis LEAVE_SPREAD{2500}; ///< for the leave to reach every router
+constexpr Millis STOP_CHECK{20};
+constexpr Millis REFUSAL_LIFETIME{600000};
+constexpr Millis HELD_PERIOD{10000};
+constexpr double REFUSED_SHARE = 0.1;
+
+RefusalObject refusalFor(const ConfigSnapshot &config, const std::string &region, const std::string &service,
+                         const std::string &workClass)
+{
+    RefusalObject refusal;
+    const ServiceObject *known = config.service(service);
+    const auto period = static_cast<std::int64_t>(wallClockNow() / REFUSAL_LIFETIME);
+    refusal.terms.id = service + "." + workClass + "." + region + "." + std::to_string(period);
+    refusal.terms.director = known ? known->director : "";
+    refusal.terms.service = service;
+    refusal.terms.workClass = workClass;
+    refusal.terms.region = region;
+    refusal.terms.share = REFUSED_SHARE;
+    refusal.terms.expires = wallClockNow() + REFUSAL_LIFETIME;
+    refusal.reason = "callers were held because all upstreams were full";
+    return refusal;
+}
+
+} // namespace
+
+Daemon::Daemon(DaemonSettings settings)
+    : m_settings(std::move(settings))
+    , m_incarnation(newIncarnation(m_random))
+    , m_signals(m_context, SIGTERM, SIGINT)
+{
+    auto gate = std::make_shared<Gate>(m_context, m_clock, m_incarnation, m_settings);
+    auto router = std::make_shared<Router>(m_context, m_clock, m_random, m_settings);
+    auto control = std::make_shared<ControlPlane>(m_context, m_settings, m_incarnation);
+    auto local = std::make_shared<LocalEndpoint>(m_context, m_clock, m_settings, *router, *gate);
+    control->onView(
+        [router = router.get()](std::shared_ptr<const FleetView> view) { router->update(std::move(view)); });
+    gate->onGossip([control = control.get()](std::shared_ptr<const wire::GossipT> message) {
+        control->receiveGossip(std::move(message));
+    });
+    gate->context().registry.onChange(
+        [control = control.get()](const std::vector<UpstreamInfo> &upstreams) { control->setUpstreams(upstreams); });
+    auto lastAsked = std::make_shared<std::map<std::string, Millis>>();
+    router->onSaturation([this, lastAsked, router = router.get(),
+                          control = control.get()](const std::string &service, const std::string &workClass) {
+        Millis &last = lastAsked->emplace(service + "/" + workClass, Millis(-HELD_PERIOD.value)).first->second;
+        if (!router->table().isSaturated(service) || m_clock.now() - last < HELD_PERIOD) {
+            return;
+        }
+        last = m_clock.now();
+        control->requestRefusal(refusalFor(*router->view().config, m_settings.region, service, workClass));
+    });
+    m_kernel.add(CONTROL, control);
+    m_kernel.add(GATE, gate);
+    m_kernel.add(ROUTER, router);
+    m_kernel.add(LOCAL, local);
+}
+
+void Daemon::run()
+{
+    m_kernel.start();
+    logEvent(Event::Started,
+             {{"node", m_settings.node},
+              {"caller", toString(m_settings.caller)},
+              {"inner", toString(m_settings.inner)},
+              {"local", toString(m_settings.local)}});
+    m_signals.async_wait([this](ErrorCode error, int) {
+        if (!error) {
+            asio::spawn(m_context, [this](Yield yield) { stopGracefully(yield); });
+        }
+    });
+    m_context.run();
+}
+
+void Daemon::stopGracefully(Yield yield)
+{
+    const auto router = m_kernel.find<Router>(ROUTER);
+    const auto gate = m_kernel.find<Gate>(GATE);
+    logEvent(Event::Stopping, {{"graceMs", m_settings.limits.stopGrace.value}});
+    m_kernel.find<ControlPlane>(CONTROL)->leave();
+    gate->leave();
+    router->leave();
+    const Millis startedAt = m_clock.now();
+    asio::steady_timer timer(m_context);
+    const auto finished = [&] {
+        const Millis waited = m_clock.now() - startedAt;
+        const bool idle = !router->isBusy() && !gate->isBusy();
+        return waited >= m_settings.limits.stopGrace || (idle && waited >= LEAVE_SPREAD);
+    };
+    while (!finished()) {
+        timer.expires_after(toDuration(STOP_CHECK));
+        ErrorCode ignored;
+        timer.async_wait(yield[ignored]);
+    }
+    m_kernel.stop();
+    logEvent(Event::Stopped, {{"node", m_settings.node}});
+    m_context.stop();
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/dispatch.cpp
@@ -0,0 +1,365 @@
+#include "dispatch.h"
+
+#include "foundation/errors.h"
+#include "gaterun.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr Millis CONNECT_TIMEOUT{500};
+constexpr Millis SEND_TIMEOUT{5000};
+constexpr Millis HOLD_PAUSE{10};
+constexpr Millis OPERATION_PAUSE{50};
+constexpr Millis CLOSE_TIMEOUT{200};
+constexpr Millis LEAST_ATTEMPT{300};
+constexpr double ATTEMPT_TARGETS = 4; ///< latency targets that one idempotent attempt may take
+constexpr unsigned SERVER_ERROR = 500;
+constexpr unsigned SERVICE_UNAVAILABLE = 503;
+
+AttemptResult resultOf(const wire::AnswerT &answer)
+{
+    switch (answer.outcome) {
+    case wire::Outcome::NotRun:
+        return answer.reason == wire::NotRunReason::Unreachable ? AttemptResult::Failed : AttemptResult::Unjudged;
+    case wire::Outcome::Unknown:
+        return AttemptResult::Failed;
+    case wire::Outcome::Ran:
+        break;
+    }
+    if (answer.status == SERVICE_UNAVAILABLE) {
+        return AttemptResult::Unjudged;
+    }
+    return answer.status >= SERVER_ERROR ? AttemptResult::Failed : AttemptResult::Answered;
+}
+
+} // namespace
+
+DispatchResult Dispatch::run(Yield yield)
+{
+    if (m_request.operation.empty()) {
+        runFreely(yield);
+    } else {
+        runOperation(yield);
+    }
+    return std::move(m_result);
+}
+
+void Dispatch::runFreely(Yield yield)
+{
+    m_shared.table.retryBudget(m_request.service).onFirstTry();
+    while (remaining() > Millis()) {
+        const UpstreamRef *chosen =
+            m_shared.table.choose(m_request.service, m_request.workClass, m_tried, m_shared.clock.now());
+        if (!chosen) {
+            m_result.held = true;
+            m_tried.clear();
+            pause(HOLD_PAUSE, yield);
+            continue;
+        }
+        const UpstreamRef ref = *chosen;
+        m_tried.insert(ref.id);
+        if (settle(attemptAt(ref, false, yield), ref)) {
+            return;
+        }
+    }
+    if (m_maybeRan) {
+        return settleUnknown("no answer came before the deadline");
+    }
+    settleNotRun(NotRunReason::Deadline, "no upstream could take the request before the deadline");
+}
+
+bool Dispatch::settle(Attempt attempt, const UpstreamRef &ref)
+{
+    const bool notRun = !attempt.failed && attempt.answer.outcome == wire::Outcome::NotRun;
+    const bool untouched = attempt.failed && !attempt.reached;
+    if (notRun || untouched) {
+        m_shared.metrics.addHandOver(m_request.service);
+        if (notRun && attempt.answer.reason == wire::NotRunReason::Quarantined && !m_maybeRan) {
+            m_result.answer = std::move(attempt.answer);
+            return true;
+        }
+        return false;
+    }
+    if (needsRetry(attempt) && mayRetry(attempt)) {
+        m_maybeRan = true;
+        m_result.retried = true;
+        m_result.channel.reset();
+        m_shared.metrics.addRetry(m_request.service);
+        return false;
+    }
+    if (attempt.failed) {
+        settleUnknown("the connection to the gate failed while the request was there");
+        return true;
+    }
+    m_result.upstream = ref.id;
+    m_result.spilled = ref.distance == Distance::OtherRegion;
+    m_result.answer = std::move(attempt.answer);
+    return true;
+}
+
+bool Dispatch::needsRetry(const Attempt &attempt) const
+{
+    if (attempt.failed || attempt.answer.outcome == wire::Outcome::Unknown) {
+        return true;
+    }
+    return attempt.answer.status >= SERVER_ERROR;
+}
+
+bool Dispatch::mayRetry(const Attempt & /*attempt*/)
+{
+    if (m_request.workClass.kind == WorkKind::Irreversible || m_bodyConsumed || remaining() <= Millis()) {
+        return false;
+    }
+    return m_shared.table.retryBudget(m_request.service).takeRetry();
+}
+
+void Dispatch::runOperation(Yield yield)
+{
+    const auto id = parseOperationId(m_request.operation);
+    if (!id) {
+        return settleNotRun(NotRunReason::Mismatch, "the operation id is malformed; open an operation first");
+    }
+    bool fresh = false;
+    std::string gate;
+    while (remaining() > Millis()) {
+        const std::string known = addressOf(*m_shared.table.view(), id->gate);
+        if (known.empty()) {
+            pause(OPERATION_PAUSE, yield);
+            continue;
+        }
+        gate = known;
+        UpstreamRef ref;
+        ref.gate = gate;
+        Attempt attempt = attemptAt(ref, fresh, yield);
+        fresh = attempt.failed;
+        m_maybeRan = m_maybeRan || (attempt.failed && attempt.reached);
+        const bool wait = attempt.failed || attempt.answer.reason == wire::NotRunReason::Busy;
+        if (!wait) {
+            m_result.answer = std::move(attempt.answer);
+            break;
+        }
+        if (m_bodyConsumed) {
+            return settleUnknown("the connection to the gate failed while the request was there");
+        }
+        m_result.held = true;
+        pause(OPERATION_PAUSE, yield);
+    }
+    const bool settled = m_result.answer.request != 0;
+    const bool conclusive = settled
+        && (m_result.answer.outcome != wire::Outcome::NotRun || m_result.answer.reason == wire::NotRunReason::Closed
+            || m_result.answer.reason == wire::NotRunReason::Mismatch);
+    if (conclusive) {
+        return;
+    }
+    closeOperation(gate, yield);
+}
+
+void Dispatch::closeOperation(const std::string &gate, Yield yield)
+{
+    const auto reason = m_result.answer.reason;
+    const std::string detail = m_result.answer.detail;
+    settleUnknown("the gate of the operation did not confirm that it has not run");
+    if (gate.empty()) {
+        return;
+    }
+    try {
+        auto channel = m_shared.pool.connect(gate, CLOSE_TIMEOUT, yield);
+        wire::CloseOperationT close;
+        close.request = ++m_shared.nextRequest;
+        close.operation = m_request.operation;
+        close.organisation = m_request.organisation;
+        const std::uint64_t number = close.request;
+        channel->send(packMessage(std::move(close)), CLOSE_TIMEOUT, yield);
+        const auto reply = channel->receiveFor<wire::AnswerT>(number, CLOSE_TIMEOUT, yield);
+        if (reply.outcome == wire::Outcome::NotRun) {
+            settleNotRun(static_cast<NotRunReason>(reason), detail.empty() ? "closed at the deadline" : detail);
+        }
+        m_shared.pool.giveBack(gate, std::move(channel));
+    } catch (const std::exception &) {
+        // The answer stays "unknown".
+    }
+}
+
+Dispatch::Attempt Dispatch::attemptAt(const UpstreamRef &ref, bool freshChannel, Yield yield)
+{
+    Attempt attempt;
+    AttemptStart start;
+    start.attempt = ++m_shared.nextRequest;
+    start.upstream = ref.id;
+    start.workClass = m_request.workClass.name;
+    start.latencyTarget = m_request.workClass.latencyTarget;
+    const Millis startedAt = m_shared.clock.now();
+    const bool judged = !ref.id.empty();
+    if (judged) {
+        m_shared.table.onStart(m_request.service, start, startedAt);
+    }
+    attempt.answer.request = start.attempt;
+    try {
+        const Millis timeout(std::min(CONNECT_TIMEOUT.value, std::max(1.0, remaining().value)));
+        auto channel = freshChannel ? m_shared.pool.connect(ref.gate, timeout, yield)
+                                    : m_shared.pool.take(ref.gate, timeout, yield);
+        exchange(ref, *channel, attempt, yield);
+        if (attempt.answer.streamed) {
+            m_result.channel = std::move(channel);
+        } else {
+            m_shared.pool.giveBack(ref.gate, std::move(channel));
+        }
+    } catch (const boost::system::system_error &) {
+        attempt.failed = true;
+        m_shared.pool.drop(ref.gate);
+    } catch (const BadFrame &) {
+        attempt.failed = true;
+        m_shared.pool.drop(ref.gate);
+    }
+    if (judged) {
+        noteFinish(ref, start, attempt, startedAt);
+    }
+    return attempt;
+}
+
+void Dispatch::exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, Yield yield)
+{
+    const std::uint64_t number = attempt.answer.request;
+    const std::string bytes = packMessage(message(ref, number));
+    attempt.reached = true;
+    channel.send(bytes, SEND_TIMEOUT, yield);
+    if (m_request.source) {
+        sendStream(channel, number, attempt, yield);
+        if (attempt.answer.digest != 0) {
+            return;
+        }
+    }
+    auto answer = channel.receiveFor<wire::AnswerT>(number, attemptTimeout(), yield);
+    if (!answer.streamed && bodyDigest(answer.body) != answer.digest) {
+        throw BadFrame("an answer's body does not match its digest: check the link between the daemons");
+    }
+    attempt.answer = std::move(answer);
+    if (ref.distance == Distance::OtherRegion) {
+        m_shared.metrics.addRegionBytes(m_request.organisation, bytes.size() + attempt.answer.body.size());
+    }
+}
+
+void Dispatch::sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, Yield yield)
+{
+    wire::FrameT first = channel.receive(attemptTimeout(), yield);
+    if (auto *answer = first.body.AsAnswer()) {
+        if (answer->request != number) {
+            rejectFrame(first);
+        }
+        attempt.answer = std::move(*answer);
+        return;
+    }
+    if (!first.body.AsProceed() || first.body.AsProceed()->request != number) {
+        rejectFrame(first);
+    }
+    m_bodyConsumed = true;
+    XXH3_state_t *state = XXH3_createState();
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> owner(state, XXH3_freeState);
+    XXH3_64bits_reset(state);
+    std::vector<std::uint8_t> piece = m_request.body;
+    for (bool more = true; more;) {
+        if (piece.empty()) {
+            more = m_request.source->next(piece, yield);
+        }
+        XXH3_64bits_update(state, piece.data(), piece.size());
+        wire::BodyChunkT chunk;
+        chunk.request = number;
+        chunk.last = !more;
+        chunk.digest = XXH3_64bits_digest(state);
+        chunk.body = std::move(piece);
+        piece.clear();
+        channel.send(packMessage(std::move(chunk)), SEND_TIMEOUT, yield);
+    }
+}
+
+void Dispatch::noteFinish(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt, Millis startedAt)
+{
+    const Millis now = m_shared.clock.now();
+    const Millis elapsed = now - startedAt;
+    AttemptResult result = AttemptResult::PathFailed;
+    Millis serviceTime = elapsed;
+    if (!attempt.failed) {
+        result = resultOf(attempt.answer);
+        serviceTime = Millis(attempt.answer.upstreamMs);
+    } else if (attempt.reached) {
+        result = m_request.source ? AttemptResult::Unjudged : AttemptResult::TimedOut;
+    }
+    const Millis network = elapsed - serviceTime - Millis(attempt.answer.queuedMs);
+    m_shared.table.onFinish(m_request.service, start, result, serviceTime, network, now);
+    if (attempt.answer.load) {
+        const double requests = attempt.answer.load->inFlight + attempt.answer.load->queued;
+        m_shared.table.onLoad(m_request.service, ref.id, {requests, now});
+    }
+}
+
+wire::ProxyRequestT Dispatch::message(const UpstreamRef &ref, std::uint64_t number) const
+{
+    wire::ProxyRequestT message;
+    message.request = number;
+    message.service = m_request.service;
+    message.upstream = ref.id;
+    message.workClass = m_request.workClass.name;
+    message.kind = static_cast<wire::WorkKind>(m_request.workClass.kind);
+    message.organisation = m_request.organisation;
+    message.operation = m_request.operation;
+    message.method = m_request.method;
+    message.target = m_request.target;
+    for (const auto &header : m_request.headers) {
+        message.headers.push_back(std::make_unique<wire::HeaderT>(*header));
+    }
+    message.deadlineMs = remaining().value;
+    message.streamed = m_request.source != nullptr;
+    message.bodyBytes = m_request.bodyBytes;
+    if (!message.streamed) {
+        message.body = m_request.body;
+        message.digest = bodyDigest(message.body);
+    }
+    return message;
+}
+
+void Dispatch::pause(Millis time, Yield yield)
+{
+    asio::steady_timer timer(m_shared.context, toDuration(Millis(std::min(time.value, remaining().value))));
+    ErrorCode ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+void Dispatch::settleNotRun(NotRunReason reason, const std::string &detail)
+{
+    wire::AnswerT answer;
+    answer.outcome = wire::Outcome::NotRun;
+    answer.reason = static_cast<wire::NotRunReason>(reason);
+    answer.detail = detail;
+    m_result.answer = std::move(answer);
+}
+
+void Dispatch::settleUnknown(const std::string &detail)
+{
+    wire::AnswerT answer;
+    answer.outcome = wire::Outcome::Unknown;
+    answer.detail = detail;
+    m_result.answer = std::move(answer);
+}
+
+Millis Dispatch::remaining() const
+{
+    return m_request.deadline - m_shared.clock.now();
+}
+
+Millis Dispatch::attemptTimeout() const
+{
+    const double left = std::max(1.0, remaining().value);
+    const bool oneTry = m_request.workClass.kind == WorkKind::Irreversible && m_request.operation.empty();
+    if (oneTry || m_request.source) {
+        return Millis(left);
+    }
+    const double patience = std::max(LEAST_ATTEMPT.value, m_request.workClass.latencyTarget.value * ATTEMPT_TARGETS);
+    return Millis(std::min(left, patience));
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/dispatch.h
@@ -0,0 +1,100 @@
+/// One request's way from the router to an answer: choice of upstream, attempts, retries, the caller's deadline.
+#pragma once
+
+#include "bodysource.h"
+#include "decision/outcome.h"
+#include "gatepool.h"
+#include "metrics.h"
+#include "routingtable.h"
+
+#include "foundation/clock.h"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mustardpond {
+
+/// A classified request of a caller.
+struct CallerRequest {
+    std::string service;
+    WorkClass workClass;
+    std::string organisation;
+    std::string operation; ///< empty when the caller opened none
+    std::string method;
+    std::string target;
+    std::vector<std::unique_ptr<wire::HeaderT>> headers;
+    std::vector<std::uint8_t> body; ///< the whole body, or its start if there is a source
+    BodySource *source = nullptr; ///< where the rest of a streamed body comes from
+    std::uint64_t bodyBytes = 0; ///< announced length of a streamed body; 0 when unknown
+    Millis deadline; ///< on the router's clock
+};
+
+/// The answer, and how it came about.
+struct DispatchResult {
+    wire::AnswerT answer;
+    std::unique_ptr<FrameChannel> channel; ///< where the rest of a streamed answer comes from
+    std::string upstream;
+    bool retried = false;
+    bool spilled = false;
+    bool held = false;
+};
+
+/// What attempts share.
+struct DispatchContext {
+    asio::io_context &context;
+    const Clock &clock;
+    RoutingTable &table;
+    GatePool &pool;
+    Metrics &metrics;
+    std::uint64_t &nextRequest;
+};
+
+class Dispatch
+{
+public:
+    Dispatch(DispatchContext &shared, CallerRequest &request)
+        : m_shared(shared)
+        , m_request(request)
+    {
+    }
+
+    /// Always comes to an answer by the caller's deadline; "not run" only where a gate or the lack of any
+    /// attempt proves it.
+    DispatchResult run(Yield yield);
+
+private:
+    /// What is known after one attempt.
+    struct Attempt {
+        wire::AnswerT answer;
+        bool reached = false; ///< bytes of the request were handed to the gate
+        bool failed = false; ///< no answer came
+    };
+
+    void runFreely(Yield yield);
+    void runOperation(Yield yield);
+    bool settle(Attempt attempt, const UpstreamRef &ref);
+    Attempt attemptAt(const UpstreamRef &ref, bool freshChannel, Yield yield);
+    void exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, Yield yield);
+    void sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, Yield yield);
+    void noteFinish(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt, Millis startedAt);
+    void closeOperation(const std::string &gate, Yield yield);
+    bool mayRetry(const Attempt &attempt);
+    bool needsRetry(const Attempt &attempt) const;
+    wire::ProxyRequestT message(const UpstreamRef &ref, std::uint64_t number) const;
+    void pause(Millis time, Yield yield);
+    void settleNotRun(NotRunReason reason, const std::string &detail);
+    void settleUnknown(const std::string &detail);
+    Millis remaining() const;
+    Millis attemptTimeout() const;
+
+    DispatchContext &m_shared;
+    CallerRequest &m_request;
+    DispatchResult m_result;
+    std::set<std::string> m_tried;
+    bool m_maybeRan = false; ///< some attempt has no proof that it did not run
+    bool m_bodyConsumed = false;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/fleetview.cpp
@@ -0,0 +1,46 @@
+#include "fleetview.h"
+
+namespace mustardpond {
+
+namespace {
+
+Distance distanceBetween(const Member &a, const Member &b)
+{
+    if (a.region != b.region) {
+        return Distance::OtherRegion;
+    }
+    return a.dataCentre == b.dataCentre ? Distance::SameDataCentre : Distance::SameRegion;
+}
+
+} // namespace
+
+std::unordered_map<std::string, std::vector<UpstreamRef>> listUpstreams(const std::vector<Member> &members,
+                                                                        const Member &self)
+{
+    std::unordered_map<std::string, std::vector<UpstreamRef>> byService;
+    for (const Member &member : members) {
+        if (!takesRequests(member)) {
+            continue;
+        }
+        for (const UpstreamInfo &upstream : member.upstreams) {
+            if (upstream.state != UpstreamState::Ready) {
+                continue;
+            }
+            byService[upstream.service].push_back({upstream.id, member.node, member.inner, member.incarnation,
+                                                   distanceBetween(self, member), upstream.state, upstream.slots});
+        }
+    }
+    return byService;
+}
+
+std::string addressOf(const FleetView &view, const Incarnation &incarnation)
+{
+    for (const Member &member : view.members) {
+        if (member.incarnation == incarnation) {
+            return member.inner;
+        }
+    }
+    return {};
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/framechannel.cpp
@@ -0,0 +1,54 @@
+#include "framechannel.h"
+
+#include "foundation/errors.h"
+
+#include <fmt/format.h>
+
+namespace mustardpond {
+
+FrameChannel::FrameChannel(tcp::socket socket)
+    : m_stream(std::move(socket))
+{
+    ErrorCode ignored;
+    m_stream.socket().set_option(tcp::no_delay(true), ignored);
+}
+
+void FrameChannel::send(const std::string &bytes, Millis timeout, Yield yield)
+{
+    m_stream.expires_after(toDuration(timeout));
+    asio::async_write(m_stream, asio::buffer(bytes), yield);
+    m_stream.expires_never();
+}
+
+wire::FrameT FrameChannel::receive(Millis timeout, Yield yield)
+{
+    FrameHeader header{};
+    m_stream.expires_after(toDuration(timeout));
+    asio::async_read(m_stream, asio::buffer(header), yield);
+    m_body.resize(bodyLength(header));
+    asio::async_read(m_stream, asio::buffer(m_body), yield);
+    m_stream.expires_never();
+    return parseFrame(m_body);
+}
+
+bool FrameChannel::isStale()
+{
+    ErrorCode error;
+    char byte = 0;
+    m_stream.socket().non_blocking(true, error);
+    m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+void FrameChannel::close()
+{
+    ErrorCode ignored;
+    m_stream.socket().close(ignored);
+}
+
+void rejectFrame(const wire::FrameT &frame)
+{
+    throw BadFrame(fmt::format(ErrorMsg::FRAME_UNEXPECTED, wire::EnumNameBody(frame.body.type)));
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/framechannel.h
@@ -0,0 +1,54 @@
+/// One connection between two daemons, used by one exchange at a time.
+#pragma once
+
+#include "net/net.h"
+#include "wire/frame.h"
+
+namespace mustardpond {
+
+/// Sends and receives whole frames. Every method throws boost::system::system_error when the connection fails or
+/// the time runs out, and BadFrame when the peer breaks the protocol; the channel is unusable then.
+class FrameChannel
+{
+public:
+    explicit FrameChannel(tcp::socket socket);
+
+    /// @param bytes a packed frame
+    void send(const std::string &bytes, Millis timeout, Yield yield);
+    wire::FrameT receive(Millis timeout, Yield yield);
+
+    /// Receives a frame that must hold the given message for the given request.
+    template <typename Message>
+    Message receiveFor(std::uint64_t request, Millis timeout, Yield yield);
+
+    tcp::socket &socket()
+    {
+        return m_stream.socket();
+    }
+    /// Whether the peer has closed an idle channel, or has sent bytes out of turn.
+    bool isStale();
+    void close();
+
+private:
+    beast::tcp_stream m_stream;
+    std::string m_body;
+};
+
+/// Throws BadFrame: the frame is not one that the receiver can take now.
+[[noreturn]] void rejectFrame(const wire::FrameT &frame);
+
+template <typename Message>
+Message FrameChannel::receiveFor(std::uint64_t request, Millis timeout, Yield yield)
+{
+    wire::FrameT frame = receive(timeout, yield);
+    if (frame.body.type != wire::BodyUnionTraits<Message>::enum_value) {
+        rejectFrame(frame);
+    }
+    auto *message = static_cast<Message *>(frame.body.value);
+    if (message->request != request) {
+        rejectFrame(frame);
+    }
+    return std::move(*message);
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/gate.cpp
@@ -0,0 +1,110 @@
+#include "gate.h"
+
+namespace mustardpond {
+
+namespace {
+
+constexpr Millis IDLE_TIMEOUT{120000};
+constexpr Millis SEND_TIMEOUT{5000};
+
+/// Counts a request while it is at the gate.
+class RunCount
+{
+public:
+    explicit RunCount(std::size_t &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~RunCount()
+    {
+        --m_count;
+    }
+    RunCount(const RunCount &) = delete;
+    RunCount &operator=(const RunCount &) = delete;
+
+private:
+    std::size_t &m_count;
+};
+
+} // namespace
+
+Gate::Gate(asio::io_context &context, const Clock &clock, Incarnation incarnation, const DaemonSettings &settings)
+    : m_gate(context, clock, incarnation, settings.limits)
+    , m_listener(std::make_shared<Listener>(
+          context, settings.inner, [this](tcp::socket socket, Yield yield) { serve(std::move(socket), yield); }))
+{
+}
+
+void Gate::start()
+{
+    m_listener->start();
+}
+
+void Gate::stop()
+{
+    m_listener->stop();
+}
+
+void Gate::serve(tcp::socket socket, Yield yield)
+{
+    FrameChannel channel(std::move(socket));
+    while (true) {
+        wire::FrameT frame = channel.receive(IDLE_TIMEOUT, yield);
+        serveFrame(channel, frame, yield);
+    }
+}
+
+void Gate::serveFrame(FrameChannel &channel, wire::FrameT &frame, Yield yield)
+{
+    switch (frame.body.type) {
+    case wire::Body::ProxyRequest:
+        return runRequest(channel, std::move(*frame.body.AsProxyRequest()), yield);
+    case wire::Body::OpenOperation:
+        return openOperation(channel, *frame.body.AsOpenOperation(), yield);
+    case wire::Body::CloseOperation:
+        return closeOperation(channel, *frame.body.AsCloseOperation(), yield);
+    case wire::Body::Gossip:
+        if (m_onGossip) {
+            m_onGossip(std::make_shared<const wire::GossipT>(std::move(*frame.body.AsGossip())));
+        }
+        return;
+    default:
+        rejectFrame(frame);
+    }
+}
+
+void Gate::runRequest(FrameChannel &channel, wire::ProxyRequestT request, Yield yield)
+{
+    const RunCount count(m_gate.running);
+    GateRun run(m_gate, std::move(request), channel);
+    run.run(yield);
+}
+
+void Gate::openOperation(FrameChannel &channel, const wire::OpenOperationT &request, Yield yield)
+{
+    wire::OperationOpenedT reply;
+    reply.request = request.request;
+    if (!m_gate.leaving && m_gate.registry.leastLoaded(request.service)) {
+        const auto id = m_gate.ledger.mint(request.service, request.organisation, m_gate.clock.now());
+        reply.operation = id ? toString(*id) : std::string();
+    }
+    channel.send(packMessage(std::move(reply)), SEND_TIMEOUT, yield);
+}
+
+void Gate::closeOperation(FrameChannel &channel, const wire::CloseOperationT &request, Yield yield)
+{
+    wire::AnswerT reply;
+    reply.request = request.request;
+    reply.digest = bodyDigest(reply.body);
+    reply.outcome = wire::Outcome::Unknown;
+    const auto id = parseOperationId(request.operation);
+    const auto state = id ? m_gate.ledger.close(*id, request.organisation, m_gate.clock.now()) : std::nullopt;
+    if (state == OperationState::Closed) {
+        reply.outcome = wire::Outcome::NotRun;
+        reply.reason = wire::NotRunReason::Closed;
+    }
+    channel.send(packMessage(std::move(reply)), SEND_TIMEOUT, yield);
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/gate.h
@@ -0,0 +1,58 @@
+/// The gate: the only way into the upstreams of this host.
+#pragma once
+
+#include "gatecontext.h"
+#include "gaterun.h"
+#include "net/listener.h"
+
+#include "foundation/kernel.h"
+
+#include <functional>
+#include <memory>
+
+namespace mustardpond {
+
+/// Serves other daemons on the inner address.
+class Gate : public Service
+{
+public:
+    /// Receives gossip from other daemons.
+    using GossipHandler = std::function<void(std::shared_ptr<const wire::GossipT>)>;
+
+    Gate(asio::io_context &context, const Clock &clock, Incarnation incarnation, const DaemonSettings &settings);
+
+    void onGossip(GossipHandler handler)
+    {
+        m_onGossip = std::move(handler);
+    }
+    void start() override;
+    void stop() override;
+
+    GateContext &context()
+    {
+        return m_gate;
+    }
+    /// Refuses new work from now on; runs in progress go on.
+    void leave()
+    {
+        m_gate.leaving = true;
+    }
+    /// Whether a run is in progress.
+    bool isBusy() const
+    {
+        return m_gate.running > 0;
+    }
+
+private:
+    void serve(tcp::socket socket, Yield yield);
+    void serveFrame(FrameChannel &channel, wire::FrameT &frame, Yield yield);
+    void openOperation(FrameChannel &channel, const wire::OpenOperationT &request, Yield yield);
+    void closeOperation(FrameChannel &channel, const wire::CloseOperationT &request, Yield yield);
+    void runRequest(FrameChannel &channel, wire::ProxyRequestT request, Yield yield);
+
+    GateContext m_gate;
+    std::shared_ptr<Listener> m_listener;
+    GossipHandler m_onGossip;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/gatepool.cpp
@@ -0,0 +1,56 @@
+#include "gatepool.h"
+
+namespace mustardpond {
+
+namespace {
+
+constexpr std::size_t MAX_IDLE_PER_GATE = 32;
+
+} // namespace
+
+std::unique_ptr<FrameChannel> GatePool::takeIdle(const std::string &address)
+{
+    auto &idle = m_idle[address];
+    while (!idle.empty()) {
+        auto channel = std::move(idle.back());
+        idle.pop_back();
+        if (!channel->isStale()) {
+            return channel;
+        }
+    }
+    return nullptr;
+}
+
+std::unique_ptr<FrameChannel> GatePool::connect(const std::string &address, Millis timeout, Yield yield)
+{
+    const Endpoint endpoint = parseEndpoint(address, "inner");
+    tcp::socket socket(m_context);
+    socket.open(tcp::v4());
+    if (!m_bindAddress.empty()) {
+        socket.bind(tcp::endpoint(asio::ip::make_address(m_bindAddress), 0));
+    }
+    beast::tcp_stream stream(std::move(socket));
+    stream.expires_after(toDuration(timeout));
+    stream.async_connect(tcp::endpoint(asio::ip::make_address(endpoint.address), endpoint.port), yield);
+    stream.expires_never();
+    return std::make_unique<FrameChannel>(stream.release_socket());
+}
+
+std::unique_ptr<FrameChannel> GatePool::take(const std::string &address, Millis timeout, Yield yield)
+{
+    if (auto channel = takeIdle(address)) {
+        return channel;
+    }
+    return connect(address, timeout, yield);
+}
+
+void GatePool::giveBack(const std::string &address, std::unique_ptr<FrameChannel> channel)
+{
+    auto &idle = m_idle[address];
+    idle.push_back(std::move(channel));
+    if (idle.size() > MAX_IDLE_PER_GATE) {
+        idle.pop_front();
+    }
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/gatepool.h
@@ -0,0 +1,43 @@
+/// Idle connections to the gates of other daemons.
+#pragma once
+
+#include "config/daemonsettings.h"
+#include "framechannel.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace mustardpond {
+
+/// A channel serves one exchange at a time, so back-pressure is TCP's own and a broken exchange costs one connection.
+class GatePool
+{
+public:
+    GatePool(asio::io_context &context, std::string bindAddress)
+        : m_context(context)
+        , m_bindAddress(std::move(bindAddress))
+    {
+    }
+
+    /// An idle channel, if one is known to be usable; null otherwise.
+    std::unique_ptr<FrameChannel> takeIdle(const std::string &address);
+    /// A new channel. Throws boost::system::system_error.
+    std::unique_ptr<FrameChannel> connect(const std::string &address, Millis timeout, Yield yield);
+    /// takeIdle() or connect().
+    std::unique_ptr<FrameChannel> take(const std::string &address, Millis timeout, Yield yield);
+    void giveBack(const std::string &address, std::unique_ptr<FrameChannel> channel);
+    /// Closes the idle channels to an address.
+    void drop(const std::string &address)
+    {
+        m_idle.erase(address);
+    }
+
+private:
+    asio::io_context &m_context;
+    std::string m_bindAddress;
+    std::unordered_map<std::string, std::deque<std::unique_ptr<FrameChannel>>> m_idle;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/gaterun.cpp
@@ -0,0 +1,442 @@
+#include "gaterun.h"
+
+#include "foundation/errors.h"
+#include "foundation/events.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr Millis CHANNEL_TIMEOUT{30000};
+constexpr Millis CONNECT_TIMEOUT{1000};
+constexpr Millis CRASH_CHECK_TIMEOUT{200};
+constexpr Millis ANSWER_GRACE{60000}; ///< for the answer of an irreversible run after its deadline
+constexpr std::size_t CHUNK_BYTES = 64 * 1024;
+constexpr std::size_t SMALL_ANSWER_BYTES = 256 * 1024;
+constexpr std::size_t RECORDED_BODY_BYTES = 64 * 1024;
+
+constexpr const char DETAIL_LOST[] =
+    "the upstream's answer was lost; the operation may have run and will not run again";
+constexpr const char DETAIL_FOREIGN[] = "this gate did not open the operation, or has forgotten it";
+
+std::vector<std::uint8_t> toBytes(const std::string &text)
+{
+    return {text.begin(), text.end()};
+}
+
+std::string_view toText(const std::vector<std::uint8_t> &bytes)
+{
+    return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
+}
+
+std::string encodeHeaders(const std::vector<std::unique_ptr<wire::HeaderT>> &headers)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &header : headers) {
+        list.push_back({header->name, header->value});
+    }
+    return list.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::vector<std::unique_ptr<wire::HeaderT>> decodeHeaders(const std::string &text)
+{
+    std::vector<std::unique_ptr<wire::HeaderT>> headers;
+    for (const auto &entry : nlohmann::json::parse(text)) {
+        auto header = std::make_unique<wire::HeaderT>();
+        header->name = entry[0].get<std::string>();
+        header->value = entry[1].get<std::string>();
+        headers.push_back(std::move(header));
+    }
+    return headers;
+}
+
+bool isHopByHop(const http::fields::value_type &field)
+{
+    switch (field.name()) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+std::uint64_t bodyDigest(const std::vector<std::uint8_t> &body)
+{
+    return XXH3_64bits(body.data(), body.size());
+}
+
+GateRun::GateRun(GateContext &gate, wire::ProxyRequestT request, FrameChannel &channel)
+    : m_gate(gate)
+    , m_request(std::move(request))
+    , m_channel(channel)
+    , m_arrivedAt(gate.clock.now())
+{
+    m_deadline = m_arrivedAt + Millis(m_request.deadlineMs);
+    if (!m_request.operation.empty()) {
+        m_operation = parseOperationId(m_request.operation);
+    }
+}
+
+void GateRun::run(Yield yield)
+{
+    if (!m_request.streamed && bodyDigest(m_request.body) != m_request.digest) {
+        throw BadFrame("a request's body does not match its digest: check the link between the daemons");
+    }
+    if (!m_request.operation.empty() && !isOperation()) {
+        return answerUnknown(DETAIL_FOREIGN, yield);
+    }
+    if (isOperation() && resolveFromLedger(yield)) {
+        return;
+    }
+    if (m_gate.leaving) {
+        return answerNotRun(NotRunReason::Leaving, "the gate takes no new work", yield);
+    }
+    LocalUpstream *upstream =
+        isOperation() ? m_gate.registry.leastLoaded(m_request.service) : m_gate.registry.find(m_request.upstream);
+    if (!upstream || upstream->announced.state == UpstreamState::Gone) {
+        return answerNotRun(NotRunReason::NoUpstream, "the gate does not serve the upstream", yield);
+    }
+    if (upstream->announced.state != UpstreamState::Ready) {
+        return answerNotRun(NotRunReason::Leaving, "the upstream takes no new work", yield);
+    }
+    if (m_gate.quarantine.standing(fingerprint()) == RequestStanding::Quarantined) {
+        return answerNotRun(NotRunReason::Quarantined, "this request crashed upstreams before", yield);
+    }
+    runOnUpstream(*upstream, yield);
+}
+
+bool GateRun::resolveFromLedger(Yield yield)
+{
+    return !admit(m_gate.ledger.check(*m_operation, binding(), m_gate.clock.now()), yield);
+}
+
+bool GateRun::admit(Admission admission, Yield yield)
+{
+    if (admission == Admission::AlreadyRunning) {
+        m_gate.waits.wait(*m_operation, remaining(), yield);
+        admission = m_gate.ledger.check(*m_operation, binding(), m_gate.clock.now());
+    }
+    switch (admission) {
+    case Admission::Run:
+        return true;
+    case Admission::AlreadyRan:
+        answerRecorded(*m_gate.ledger.answer(*m_operation), yield);
+        return false;
+    case Admission::AlreadyRunning:
+        answerUnknown("the operation is still running", yield);
+        return false;
+    case Admission::Lost:
+        answerUnknown(DETAIL_LOST, yield);
+        return false;
+    case Admission::Closed:
+        answerNotRun(NotRunReason::Closed, "the operation was closed before it ran; open a new one", yield);
+        return false;
+    case Admission::Mismatch:
+        answerNotRun(NotRunReason::Mismatch, "the operation was opened for another organisation, service or request",
+                     yield);
+        return false;
+    case Admission::Foreign:
+        answerUnknown(DETAIL_FOREIGN, yield);
+        return false;
+    }
+    return false;
+}
+
+void GateRun::runOnUpstream(LocalUpstream &upstream, Yield yield)
+{
+    const std::string id = upstream.announced.id;
+    const auto queue = upstream.queue;
+    switch (m_gate.turns.take(queue, m_deadline, remaining(), yield)) {
+    case Turn::Full:
+        return answerNotRun(NotRunReason::Busy, "the upstream's queue is full", yield);
+    case Turn::Expired:
+        return answerNotRun(NotRunReason::Deadline, "the deadline passed in the upstream's queue", yield);
+    case Turn::Taken:
+        break;
+    }
+    const SlotHold hold(m_gate.turns, queue);
+    LocalUpstream *still = m_gate.registry.find(id);
+    if (!still || still->announced.state != UpstreamState::Ready) {
+        return answerNotRun(NotRunReason::Leaving, "the upstream takes no new work", yield);
+    }
+    if (isOperation() && !admit(m_gate.ledger.begin(*m_operation, binding(), m_gate.clock.now()), yield)) {
+        return;
+    }
+    m_servedBy = id;
+    execute(*still, yield);
+}
+
+void GateRun::execute(LocalUpstream &upstream, Yield yield)
+{
+    const Endpoint address = upstream.announced.address;
+    m_startedAt = m_gate.clock.now();
+    try {
+        m_exchange = openUpstream(upstream, yield);
+    } catch (const boost::system::system_error &error) {
+        m_gate.client.drop(address);
+        if (isOperation()) {
+            m_gate.ledger.release(*m_operation);
+            m_gate.waits.ended(*m_operation);
+        }
+        return answerNotRun(NotRunReason::Unreachable, error.what(), yield);
+    }
+    std::string failure;
+    try {
+        if (!isIrreversible()) {
+            watchCaller(m_exchange);
+        }
+        m_gate.renewals.onFirstTry();
+        exchange(*m_exchange, yield);
+        m_gate.quarantine.onSurvived(fingerprint());
+        m_gate.client.giveBack(address, *m_exchange);
+        return;
+    } catch (const boost::system::system_error &error) {
+        failure = error.what();
+    } catch (const Exception &) {
+        loseOperation();
+        throw;
+    }
+    recordFailure(address, failure, yield);
+}
+
+void GateRun::loseOperation()
+{
+    if (isOperation()) {
+        m_gate.ledger.lose(*m_operation);
+        m_gate.waits.ended(*m_operation);
+    }
+}
+
+std::unique_ptr<UpstreamExchange> GateRun::openUpstream(LocalUpstream &upstream, Yield yield)
+{
+    const Millis timeout(std::min(CONNECT_TIMEOUT.value, std::max(1.0, remaining().value)));
+    m_freshConnection = isIrreversible();
+    return m_gate.client.open(upstream.announced.address, m_freshConnection, timeout, yield);
+}
+
+void GateRun::exchange(UpstreamExchange &exchange, Yield yield)
+{
+    if (m_request.streamed) {
+        wire::ProceedT proceed;
+        proceed.request = m_request.request;
+        m_channel.send(packMessage(std::move(proceed)), CHANNEL_TIMEOUT, yield);
+    }
+    m_dispatched = true;
+    sendRequest(exchange, yield);
+    receiveAnswer(exchange, yield);
+}
+
+void GateRun::sendRequest(UpstreamExchange &exchange, Yield yield)
+{
+    auto &request = m_upstreamRequest;
+    request.method_string(m_request.method);
+    request.target(m_request.target);
+    request.version(11);
+    for (const auto &header : m_request.headers) {
+        request.insert(header->name, header->value);
+    }
+    request.set("Deadline-Ms", std::to_string(static_cast<std::int64_t>(remaining().value)));
+    const bool lengthKnown = !m_request.streamed || m_request.bodyBytes > 0;
+    if (lengthKnown) {
+        const auto length = m_request.streamed ? m_request.bodyBytes : m_request.body.size();
+        const bool mayOmit = length == 0 && (m_request.method == "GET" || m_request.method == "HEAD");
+        if (!mayOmit) {
+            request.content_length(length);
+        }
+    } else {
+        request.chunked(true);
+    }
+    exchange.sendHead(request, patience(), yield);
+    if (m_request.streamed) {
+        return relayUpload(exchange, yield);
+    }
+    exchange.sendBody(std::string(toText(m_request.body)), true, patience(), yield);
+}
+
+void GateRun::relayUpload(UpstreamExchange &exchange, Yield yield)
+{
+    XXH3_state_t *state = XXH3_createState();
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> owner(state, XXH3_freeState);
+    XXH3_64bits_reset(state);
+    for (bool last = false; !last;) {
+        const auto chunk = m_channel.receiveFor<wire::BodyChunkT>(m_request.request, CHANNEL_TIMEOUT, yield);
+        XXH3_64bits_update(state, chunk.body.data(), chunk.body.size());
+        last = chunk.last;
+        if (last && XXH3_64bits_digest(state) != chunk.digest) {
+            throw BadFrame("an upload does not match its digest: check the link between the daemons");
+        }
+        exchange.sendBody(std::string(toText(chunk.body)), last, patience(), yield);
+    }
+}
+
+void GateRun::receiveAnswer(UpstreamExchange &exchange, Yield yield)
+{
+    exchange.receiveHead(patience(), yield);
+    std::string body;
+    bool more = true;
+    while (more && body.size() < SMALL_ANSWER_BYTES) {
+        more = exchange.receiveBody(body, CHUNK_BYTES, patience(), yield);
+    }
+    wire::AnswerT answer = newAnswer(Outcome::Ran);
+    answer.status = static_cast<std::uint16_t>(exchange.head().result_int());
+    for (const auto &field : exchange.head()) {
+        if (!isHopByHop(field)) {
+            auto header = std::make_unique<wire::HeaderT>();
+            header->name = std::string(field.name_string());
+            header->value = std::string(field.value());
+            answer.headers.push_back(std::move(header));
+        }
+    }
+    if (more) {
+        return relayAnswer(exchange, std::move(answer), std::move(body), yield);
+    }
+    answer.body = toBytes(body);
+    answer.digest = bodyDigest(answer.body);
+    if (isOperation()) {
+        const bool kept = body.size() <= RECORDED_BODY_BYTES;
+        m_gate.ledger.finish(*m_operation, {answer.status, encodeHeaders(answer.headers), kept ? body : std::string()});
+        m_gate.waits.ended(*m_operation);
+    }
+    finish(std::move(answer), yield);
+}
+
+void GateRun::relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, Yield yield)
+{
+    if (isOperation()) {
+        m_gate.ledger.finish(*m_operation, {answer.status, encodeHeaders(answer.headers), std::string()});
+        m_gate.waits.ended(*m_operation);
+    }
+    XXH3_state_t *state = XXH3_createState();
+    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> owner(state, XXH3_freeState);
+    XXH3_64bits_reset(state);
+    XXH3_64bits_update(state, body.data(), body.size());
+    answer.streamed = true;
+    answer.body = toBytes(body);
+    m_channel.send(packMessage(std::move(answer)), CHANNEL_TIMEOUT, yield);
+    for (bool more = true; more;) {
+        body.clear();
+        more = exchange.receiveBody(body, CHUNK_BYTES, patience(), yield);
+        XXH3_64bits_update(state, body.data(), body.size());
+        wire::BodyChunkT chunk;
+        chunk.request = m_request.request;
+        chunk.last = !more;
+        chunk.digest = XXH3_64bits_digest(state);
+        chunk.body = toBytes(body);
+        m_channel.send(packMessage(std::move(chunk)), CHANNEL_TIMEOUT, yield);
+    }
+}
+
+void GateRun::recordFailure(const Endpoint &address, const std::string &cause, Yield yield)
+{
+    m_gate.client.drop(address);
+    loseOperation();
+    try {
+        m_gate.client.open(address, true, CRASH_CHECK_TIMEOUT, yield);
+    } catch (const boost::system::system_error &error) {
+        if (error.code() == asio::error::connection_refused
+            && m_gate.quarantine.onCrash(fingerprint()) == RequestStanding::Quarantined) {
+            logEvent(Event::RequestQuarantined, {{"service", m_request.service}, {"fingerprint", fingerprint()}});
+        }
+    }
+    answerUnknown("the exchange with the upstream failed: " + cause, yield);
+}
+
+void GateRun::answerNotRun(NotRunReason reason, const std::string &detail, Yield yield)
+{
+    wire::AnswerT answer = newAnswer(Outcome::NotRun);
+    answer.reason = static_cast<wire::NotRunReason>(reason);
+    answer.detail = detail;
+    finish(std::move(answer), yield);
+}
+
+void GateRun::answerUnknown(const std::string &detail, Yield yield)
+{
+    wire::AnswerT answer = newAnswer(Outcome::Unknown);
+    answer.detail = detail;
+    finish(std::move(answer), yield);
+}
+
+void GateRun::answerRecorded(const RecordedAnswer &recorded, Yield yield)
+{
+    wire::AnswerT answer = newAnswer(Outcome::Ran);
+    answer.status = recorded.status;
+    answer.headers = decodeHeaders(recorded.headers);
+    answer.body = toBytes(recorded.body);
+    answer.digest = bodyDigest(answer.body);
+    finish(std::move(answer), yield);
+}
+
+void GateRun::finish(wire::AnswerT answer, Yield yield)
+{
+    m_channel.send(packMessage(std::move(answer)), CHANNEL_TIMEOUT, yield);
+}
+
+wire::AnswerT GateRun::newAnswer(Outcome outcome) const
+{
+    wire::AnswerT answer;
+    answer.request = m_request.request;
+    answer.outcome = static_cast<wire::Outcome>(outcome);
+    const Millis now = m_gate.clock.now();
+    const bool started = m_startedAt > Millis();
+    answer.queuedMs = ((started ? m_startedAt : now) - m_arrivedAt).value;
+    answer.upstreamMs = started ? (now - m_startedAt).value : 0;
+    answer.digest = bodyDigest(answer.body);
+    if (const LocalUpstream *upstream = m_gate.registry.find(m_servedBy.empty() ? m_request.upstream : m_servedBy)) {
+        answer.load = std::make_unique<wire::LoadT>();
+        answer.load->inFlight = static_cast<std::uint32_t>(upstream->queue->running());
+        answer.load->queued = static_cast<std::uint32_t>(upstream->queue->waiting());
+        answer.load->slots = static_cast<std::uint32_t>(upstream->queue->slots());
+    }
+    return answer;
+}
+
+OperationBinding GateRun::binding() const
+{
+    return {m_request.service, m_request.organisation, fingerprint()};
+}
+
+std::uint64_t GateRun::fingerprint() const
+{
+    const std::string head = m_request.method + ' ' + m_request.target;
+    const auto seed = XXH3_64bits(head.data(), head.size());
+    return XXH3_64bits_withSeed(m_request.body.data(), m_request.body.size(), seed);
+}
+
+Millis GateRun::remaining() const
+{
+    const Millis left = m_deadline - m_gate.clock.now();
+    return Millis(std::max(1.0, left.value));
+}
+
+Millis GateRun::patience() const
+{
+    return isIrreversible() ? remaining() + ANSWER_GRACE : remaining();
+}
+
+void GateRun::watchCaller(const std::shared_ptr<UpstreamExchange> &exchange)
+{
+    if (m_request.streamed) {
+        return;
+    }
+    const std::weak_ptr<UpstreamExchange> watched = exchange;
+    m_channel.socket().async_wait(tcp::socket::wait_read, [watched](ErrorCode error) {
+        const auto running = watched.lock();
+        if (!error && running) {
+            running->cancel();
+        }
+    });
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/gaterun.h
@@ -0,0 +1,74 @@
+/// One request at the gate: admission, the run on the upstream, and its answer.
+#pragma once
+
+#include "decision/outcome.h"
+#include "framechannel.h"
+#include "gatecontext.h"
+
+#include <memory>
+#include <optional>
+
+namespace mustardpond {
+
+/// Digest of a body as it is carried between daemons.
+std::uint64_t bodyDigest(const std::vector<std::uint8_t> &body);
+
+/// Runs one request. The answer is sent on the channel, in one frame if it is small.
+class GateRun
+{
+public:
+    GateRun(GateContext &gate, wire::ProxyRequestT request, FrameChannel &channel);
+
+    /// Throws boost::system::system_error or BadFrame when the channel fails. What became of the request is then
+    /// recorded all the same.
+    void run(Yield yield);
+
+private:
+    bool resolveFromLedger(Yield yield);
+    bool admit(Admission admission, Yield yield);
+    void runOnUpstream(LocalUpstream &upstream, Yield yield);
+    void execute(LocalUpstream &upstream, Yield yield);
+    std::unique_ptr<UpstreamExchange> openUpstream(LocalUpstream &upstream, Yield yield);
+    void exchange(UpstreamExchange &exchange, Yield yield);
+    void sendRequest(UpstreamExchange &exchange, Yield yield);
+    void relayUpload(UpstreamExchange &exchange, Yield yield);
+    void receiveAnswer(UpstreamExchange &exchange, Yield yield);
+    void relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, Yield yield);
+    void loseOperation();
+    void recordFailure(const Endpoint &address, const std::string &cause, Yield yield);
+
+    void answerNotRun(NotRunReason reason, const std::string &detail, Yield yield);
+    void answerUnknown(const std::string &detail, Yield yield);
+    void answerRecorded(const RecordedAnswer &recorded, Yield yield);
+    void finish(wire::AnswerT answer, Yield yield);
+    wire::AnswerT newAnswer(Outcome outcome) const;
+
+    bool isOperation() const
+    {
+        return m_operation.has_value();
+    }
+    bool isIrreversible() const
+    {
+        return m_request.kind == wire::WorkKind::Irreversible;
+    }
+    OperationBinding binding() const;
+    std::uint64_t fingerprint() const;
+    Millis remaining() const;
+    Millis patience() const;
+    void watchCaller(const std::shared_ptr<UpstreamExchange> &exchange);
+
+    GateContext &m_gate;
+    wire::ProxyRequestT m_request;
+    FrameChannel &m_channel;
+    std::optional<OperationId> m_operation;
+    std::shared_ptr<UpstreamExchange> m_exchange;
+    http::request<http::buffer_body> m_upstreamRequest;
+    Millis m_deadline;
+    Millis m_arrivedAt;
+    Millis m_startedAt;
+    bool m_dispatched = false;
+    bool m_freshConnection = false;
+    std::string m_servedBy;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/gossipsender.cpp
@@ -0,0 +1,52 @@
+#include "gossipsender.h"
+
+#include "foundation/errors.h"
+
+namespace mustardpond {
+
+namespace {
+
+constexpr Millis CONNECT_TIMEOUT{500};
+constexpr Millis SEND_TIMEOUT{500};
+constexpr std::size_t MAX_QUEUED = 64;
+
+} // namespace
+
+void GossipSender::send(std::vector<OutgoingGossip> messages)
+{
+    for (OutgoingGossip &outgoing : messages) {
+        Queue &queue = m_queues[outgoing.address];
+        if (queue.frames.size() >= MAX_QUEUED) {
+            queue.frames.pop_front();
+        }
+        queue.frames.push_back(packMessage(std::move(outgoing.message)));
+        if (queue.sending) {
+            continue;
+        }
+        queue.sending = true;
+        asio::spawn(m_context, [self = shared_from_this(), address = outgoing.address](Yield yield) {
+            self->drain(address, yield);
+        });
+    }
+}
+
+void GossipSender::drain(const std::string &address, Yield yield)
+{
+    try {
+        auto channel = m_pool.take(address, CONNECT_TIMEOUT, yield);
+        while (!m_queues[address].frames.empty()) {
+            const std::string frame = std::move(m_queues[address].frames.front());
+            m_queues[address].frames.pop_front();
+            channel->send(frame, SEND_TIMEOUT, yield);
+            m_bytesSent += frame.size();
+        }
+        m_pool.giveBack(address, std::move(channel));
+    } catch (const boost::system::system_error &) {
+        m_queues[address].frames.clear();
+    } catch (const Exception &) {
+        m_queues[address].frames.clear();
+    }
+    m_queues[address].sending = false;
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/gossipsender.h
@@ -0,0 +1,43 @@
+/// Sends gossip to other daemons; lost messages are not sent again.
+#pragma once
+
+#include "gatepool.h"
+#include "membership/membership.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace mustardpond {
+
+/// Used on the request path's thread. Messages to one address keep their order.
+class GossipSender : public std::enable_shared_from_this<GossipSender>
+{
+public:
+    GossipSender(asio::io_context &context, std::string bindAddress)
+        : m_context(context)
+        , m_pool(context, std::move(bindAddress))
+    {
+    }
+
+    void send(std::vector<OutgoingGossip> messages);
+    std::uint64_t bytesSent() const
+    {
+        return m_bytesSent;
+    }
+
+private:
+    struct Queue {
+        std::deque<std::string> frames;
+        bool sending = false;
+    };
+    void drain(const std::string &address, Yield yield);
+
+    asio::io_context &m_context;
+    GatePool m_pool;
+    std::unordered_map<std::string, Queue> m_queues;
+    std::uint64_t m_bytesSent = 0;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,61 @@
+/// The mustardpond daemon.
+
+#include "daemon.h"
+
+#include "foundation/errors.h"
+#include "foundation/events.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+
+namespace {
+
+constexpr int EXIT_INVALID_SETTINGS = 2;
+constexpr int EXIT_FAILED = 1;
+
+int checkSettings(const std::string &path)
+{
+    mustardpond::readDaemonSettings(path);
+    std::cout << path << ": the settings are valid\n";
+    return 0;
+}
+
+int runDaemon(const std::string &path)
+{
+    const mustardpond::DaemonSettings settings = mustardpond::readDaemonSettings(path);
+    mustardpond::openLog(settings.logFormat, settings.node);
+    mustardpond::Daemon daemon(settings);
+    daemon.run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("mustardpond: router and gate for the backend servers of one host");
+    std::string settings;
+    std::string checked;
+    app.set_version_flag("--version", MUSTARDPOND_VERSION);
+    app.add_option("--settings", settings, "JSON file with the daemon's settings");
+    app.add_option("--check-settings", checked, "check a settings file and exit");
+    CLI11_PARSE(app, argc, argv);
+    try {
+        if (!checked.empty()) {
+            return checkSettings(checked);
+        }
+        if (settings.empty()) {
+            std::cerr << "mustardpond: name a settings file with --settings FILE\n";
+            return EXIT_INVALID_SETTINGS;
+        }
+        return runDaemon(settings);
+    } catch (const mustardpond::Exception &error) {
+        mustardpond::logEvent(mustardpond::Event::SettingsInvalid, {{"cause", error.what()}});
+        return EXIT_INVALID_SETTINGS;
+    } catch (const std::exception &error) {
+        std::cerr << "mustardpond: " << error.what() << "\n";
+        return EXIT_FAILED;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/memberactor.cpp
@@ -0,0 +1,206 @@
+#include "memberactor.h"
+
+#include "foundation/errors.h"
+#include "foundation/events.h"
+
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <chrono>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr std::chrono::milliseconds TICK{50};
+constexpr std::size_t WATCHERS = 2;
+
+Event eventOf(MemberState state)
+{
+    switch (state) {
+    case MemberState::Alive:
+        return Event::MemberJoined;
+    case MemberState::Suspect:
+        return Event::MemberSuspected;
+    case MemberState::Left:
+        return Event::MemberLeft;
+    case MemberState::Dead:
+        return Event::MemberDead;
+    }
+    return Event::MemberJoined;
+}
+
+std::uint64_t rank(const Member &member)
+{
+    return XXH64(member.node.data(), member.node.size(), member.incarnation.low);
+}
+
+Member selfFrom(const DaemonSettings &settings, Incarnation incarnation)
+{
+    Member self;
+    self.node = settings.node;
+    self.incarnation = incarnation;
+    self.region = settings.region;
+    self.dataCentre = settings.dataCentre;
+    self.inner = toString(settings.advertisedInner);
+    self.caller = toString(settings.caller);
+    return self;
+}
+
+std::vector<std::string> seedsFrom(const DaemonSettings &settings)
+{
+    std::vector<std::string> seeds;
+    for (const Endpoint &seed : settings.seeds) {
+        seeds.push_back(toString(seed));
+    }
+    return seeds;
+}
+
+/// The state of the actor.
+class MemberDriver
+{
+public:
+    MemberDriver(const DaemonSettings &settings, Incarnation incarnation, MemberActorOutput output)
+        : m_seeds(seedsFrom(settings))
+        , m_membership(selfFrom(settings, incarnation), {}, m_random)
+        , m_output(std::move(output))
+        , m_builder([](const StoredObject &object, const std::string &cause) {
+            logEvent(Event::ObjectInvalid,
+                     {{"kind", object.kind}, {"name", object.name}, {"version", object.version}, {"cause", cause}});
+        })
+    {
+        m_membership.setSeeds(m_seeds);
+    }
+
+    void tick()
+    {
+        send(m_membership.tick(m_clock.now()));
+        publishChanges();
+    }
+
+    void receive(const wire::GossipT &message)
+    {
+        send(m_membership.receive(message, m_clock.now()));
+        publishChanges();
+    }
+
+    void setUpstreams(std::vector<UpstreamInfo> upstreams)
+    {
+        m_membership.setUpstreams(std::move(upstreams));
+        m_changed = true;
+        publishChanges();
+    }
+
+    void leave()
+    {
+        m_membership.leave();
+        m_changed = true;
+        publishChanges();
+    }
+
+    void takeObjects(const std::vector<StoredObject> &objects)
+    {
+        for (const StoredObject &object : objects) {
+            if (object.kind == nameOf(OBJECT_KIND_NAMES, ObjectKind::Node)) {
+                addSeed(object);
+            } else {
+                m_membership.applyObject(object);
+            }
+        }
+        m_membership.setSeeds(m_seeds);
+        m_configured = true;
+        m_changed = true;
+        publishChanges();
+    }
+
+    bool watches() const
+    {
+        return watchesPlatform(m_membership.members(), m_membership.self());
+    }
+
+private:
+    void addSeed(const StoredObject &object)
+    {
+        try {
+            m_seeds.push_back(parseNode(object).inner);
+        } catch (const Exception &) {
+            // A node of another version; it can still find this one.
+        }
+    }
+
+    void send(std::vector<OutgoingGossip> messages)
+    {
+        if (!messages.empty()) {
+            m_output.sendGossip(std::move(messages));
+        }
+    }
+
+    void publishChanges()
+    {
+        for (const MemberChange &change : m_membership.takeMemberChanges()) {
+            logEvent(eventOf(change.state), {{"member", change.node}});
+            m_changed = true;
+        }
+        for (const StoredObject &object : m_membership.takeObjectChanges()) {
+            m_builder.take(object);
+            logEvent(Event::ObjectApplied, {{"kind", object.kind}, {"name", object.name}, {"version", object.version}});
+            m_changed = true;
+            m_configured = true;
+        }
+        if (!m_changed) {
+            return;
+        }
+        m_changed = false;
+        auto view = std::make_shared<FleetView>();
+        view->config = m_builder.build();
+        view->members = m_membership.members();
+        view->upstreams = listUpstreams(view->members, m_membership.self());
+        view->configured = m_configured;
+        m_output.publish(view);
+    }
+
+    SteadyClock m_clock;
+    SystemRandom m_random;
+    std::vector<std::string> m_seeds;
+    Membership m_membership;
+    MemberActorOutput m_output;
+    ConfigBuilder m_builder;
+    bool m_changed = true;
+    bool m_configured = false;
+};
+
+} // namespace
+
+bool watchesPlatform(const std::vector<Member> &members, const Member &self)
+{
+    std::size_t higher = 0;
+    for (const Member &member : members) {
+        const bool rival = member.dataCentre == self.dataCentre && takesRequests(member);
+        higher += rival && rank(member) > rank(self) ? 1 : 0;
+    }
+    return higher < WATCHERS;
+}
+
+caf::behavior memberActor(caf::event_based_actor *self, const DaemonSettings &settings, Incarnation incarnation,
+                          const MemberActorOutput &output)
+{
+    auto driver = std::make_shared<MemberDriver>(settings, incarnation, output);
+    auto store = std::make_shared<caf::actor>();
+    self->send(self, TickDue{});
+    return {
+        [driver, store, self](TickDue) {
+            driver->tick();
+            if (*store) {
+                self->send(*store, WatchDuty{driver->watches()});
+            }
+            self->delayed_send(self, TICK, TickDue{});
+        },
+        [store](const caf::actor &handle) { *store = handle; },
+        [driver](const GossipReceived &received) { driver->receive(*received.message); },
+        [driver](const UpstreamsChanged &change) { driver->setUpstreams(change.upstreams); },
+        [driver](LeaveRequested) { driver->leave(); },
+        [driver](const StoreChanged &change) { driver->takeObjects(change.objects); },
+    };
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/memberactor.h
@@ -0,0 +1,26 @@
+/// The actor that runs the gossip protocol and publishes the fleet's view.
+#pragma once
+
+#include "config/daemonsettings.h"
+#include "controlmessages.h"
+#include "membership/membership.h"
+
+#include <functional>
+
+namespace mustardpond {
+
+/// Where the actor's results go; called on the actor's thread.
+struct MemberActorOutput {
+    std::function<void(std::vector<OutgoingGossip>)> sendGossip;
+    std::function<void(std::shared_ptr<const FleetView>)> publish;
+};
+
+/// Behaviour of the actor. Takes GossipReceived, UpstreamsChanged, LeaveRequested, StoreChanged and TickDue, and the
+/// handle of the store actor, which it tells its duty to watch.
+caf::behavior memberActor(caf::event_based_actor *self, const DaemonSettings &settings, Incarnation incarnation,
+                          const MemberActorOutput &output);
+
+/// The members that watch the platform for their data centre: the two highest by rendezvous hashing.
+bool watchesPlatform(const std::vector<Member> &members, const Member &self);
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/metrics.h
@@ -0,0 +1,58 @@
+/// Counters and latency histograms of one daemon.
+#pragma once
+
+#include "decision/outcome.h"
+#include "foundation/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace mustardpond {
+
+/// A finished request, as the metrics count it.
+struct RequestSample {
+    std::string service;
+    std::string workClass;
+    Outcome outcome = Outcome::Ran;
+    Millis latency; ///< from the caller's last byte to the answer's first
+    Millis upstreamTime; ///< the part that the upstream itself took
+};
+
+/// Not thread-safe.
+class Metrics
+{
+public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    Metrics &operator=(const Metrics &) = delete;
+
+    void addRequest(const RequestSample &sample);
+    void addRetry(const std::string &service)
+    {
+        ++m_retries[service];
+    }
+    void addHandOver(const std::string &service)
+    {
+        ++m_handOvers[service];
+    }
+    /// Bytes that crossed between regions for an organisation.
+    void addRegionBytes(const std::string &organisation, std::uint64_t bytes)
+    {
+        m_regionBytes[organisation] += bytes;
+    }
+
+    /// All metrics in the Prometheus text format.
+    std::string exposition() const;
+
+private:
+    struct Histograms;
+    std::unique_ptr<Histograms> m_histograms;
+    std::map<std::string, std::uint64_t> m_retries;
+    std::map<std::string, std::uint64_t> m_handOvers;
+    std::map<std::string, std::uint64_t> m_regionBytes;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/operationwaits.h
@@ -0,0 +1,33 @@
+/// Lets resends of an operation wait for the run that is in progress.
+#pragma once
+
+#include "decision/operationid.h"
+#include "net/net.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace mustardpond {
+
+/// Not thread-safe; the waiting coroutines run on one context.
+class OperationWaits
+{
+public:
+    explicit OperationWaits(asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    /// Waits until the operation's run has ended, at most for the given time.
+    void wait(const OperationId &id, Millis atMost, Yield yield);
+    /// Wakes all who wait for the operation.
+    void ended(const OperationId &id);
+
+private:
+    using Timers = std::vector<std::shared_ptr<asio::steady_timer>>;
+
+    asio::io_context &m_context;
+    std::unordered_map<std::uint64_t, Timers> m_timers;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/router.h
@@ -0,0 +1,110 @@
+/// The router: accepts callers and finds an upstream for each of their requests.
+#pragma once
+
+#include "decision/burn.h"
+#include "dispatch.h"
+#include "net/listener.h"
+
+#include "foundation/kernel.h"
+
+#include <functional>
+#include <memory>
+
+namespace mustardpond {
+
+class Router : public Service
+{
+public:
+    /// Asked to have a director decide on a refusal, when a class of work has outgrown its capacity.
+    using SaturationHandler = std::function<void(const std::string &service, const std::string &workClass)>;
+
+    Router(asio::io_context &context, const Clock &clock, Random &random, const DaemonSettings &settings);
+
+    void start() override;
+    void stop() override;
+
+    void update(std::shared_ptr<const FleetView> view)
+    {
+        m_table.update(std::move(view));
+    }
+    void onSaturation(SaturationHandler handler)
+    {
+        m_onSaturation = std::move(handler);
+    }
+    /// Asks callers to connect elsewhere; requests in flight go on.
+    void leave();
+    bool isLeaving() const
+    {
+        return m_leaving;
+    }
+    bool isBusy() const
+    {
+        return m_inFlight > 0;
+    }
+
+    const DaemonSettings &settings() const
+    {
+        return m_settings;
+    }
+    const Clock &clock() const
+    {
+        return m_clock;
+    }
+    Random &random()
+    {
+        return m_random;
+    }
+    const FleetView &view() const
+    {
+        return *m_table.view();
+    }
+    RoutingTable &table()
+    {
+        return m_table;
+    }
+    GatePool &pool()
+    {
+        return m_pool;
+    }
+    Metrics &metrics()
+    {
+        return m_metrics;
+    }
+    BurnMeter &burn()
+    {
+        return m_burn;
+    }
+    DispatchContext &dispatchContext()
+    {
+        return m_dispatch;
+    }
+    std::size_t &inFlight()
+    {
+        return m_inFlight;
+    }
+    /// Waits until configuration is known, at most until the time given. False when it is not.
+    bool awaitConfiguration(Millis atMost, Yield yield);
+    /// Reports that a request was held because all upstreams were full.
+    void reportHeld(const std::string &service, const std::string &workClass);
+
+private:
+    void tick(Yield yield);
+
+    asio::io_context &m_context;
+    const Clock &m_clock;
+    Random &m_random;
+    DaemonSettings m_settings;
+    RoutingTable m_table;
+    GatePool m_pool;
+    Metrics m_metrics;
+    BurnMeter m_burn;
+    std::uint64_t m_nextRequest = 0;
+    DispatchContext m_dispatch;
+    std::shared_ptr<Listener> m_listener;
+    SaturationHandler m_onSaturation;
+    std::size_t m_inFlight = 0;
+    bool m_leaving = false;
+    bool m_stopped = false;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/routingtable.cpp
@@ -0,0 +1,204 @@
+#include "routingtable.h"
+
+#include "foundation/events.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr double TIME_MEMORY = 0.1; ///< weight of the newest sample
+constexpr Millis DEFAULT_SERVICE_TIME{5};
+constexpr Millis REPORT_LIFETIME{500};
+
+Millis usualNetwork(Distance distance)
+{
+    switch (distance) {
+    case Distance::SameDataCentre:
+        return Millis(0.5);
+    case Distance::SameRegion:
+        return Millis(2);
+    case Distance::OtherRegion:
+        return Millis(16);
+    }
+    return Millis(0);
+}
+
+Millis blend(Millis known, Millis sample)
+{
+    return known + (sample - known) * TIME_MEMORY;
+}
+
+Event eventOf(HealthChangeKind kind)
+{
+    switch (kind) {
+    case HealthChangeKind::Ejected:
+        return Event::UpstreamEjected;
+    case HealthChangeKind::Returned:
+        return Event::UpstreamReturned;
+    case HealthChangeKind::HeldByFloor:
+        return Event::EjectionHeldByFloor;
+    case HealthChangeKind::SharedCause:
+        return Event::SharedCause;
+    }
+    return Event::UpstreamEjected;
+}
+
+} // namespace
+
+void RoutingTable::update(std::shared_ptr<const FleetView> view)
+{
+    m_view = std::move(view);
+    for (const auto &[service, upstreams] : m_view->upstreams) {
+        updateService(service, upstreams);
+    }
+    for (auto &[name, state] : m_services) {
+        if (m_view->upstreams.count(name) == 0) {
+            updateService(name, {});
+        }
+    }
+}
+
+void RoutingTable::updateService(const std::string &name, const std::vector<UpstreamRef> &upstreams)
+{
+    ServiceState &state = stateOf(name);
+    std::set<std::string> present;
+    for (const UpstreamRef &ref : upstreams) {
+        present.insert(ref.id);
+        state.detector->setUpstream(ref.id, ref.slots);
+        state.upstreams[ref.id];
+    }
+    for (auto entry = state.upstreams.begin(); entry != state.upstreams.end();) {
+        if (present.count(entry->first) == 0) {
+            state.detector->removeUpstream(entry->first);
+            entry = state.upstreams.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    if (m_view->config) {
+        if (const ServiceObject *service = m_view->config->service(name)) {
+            state.detector->setFloor(service->floor);
+        }
+    }
+}
+
+const UpstreamRef *RoutingTable::choose(const std::string &service, const WorkClass &workClass,
+                                        const std::set<std::string> &excluded, Millis now)
+{
+    const auto found = m_view->upstreams.find(service);
+    if (found == m_view->upstreams.end()) {
+        return nullptr;
+    }
+    ServiceState &state = stateOf(service);
+    std::vector<Candidate> candidates;
+    candidates.reserve(found->second.size());
+    for (const UpstreamRef &ref : found->second) {
+        candidates.push_back(candidateFor(state, ref, workClass, now));
+        candidates.back().excluded = excluded.count(ref.id) > 0;
+    }
+    const auto chosen = chooseUpstream(candidates, workClass.latencyTarget, m_random);
+    return chosen ? &found->second[*chosen] : nullptr;
+}
+
+Candidate RoutingTable::candidateFor(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass,
+                                     Millis now)
+{
+    const UpstreamState &upstream = state.upstreams[ref.id];
+    Candidate candidate;
+    candidate.upstream = ref.id;
+    candidate.distance = ref.distance;
+    candidate.roundTrip = upstream.network > Millis() ? upstream.network : usualNetwork(ref.distance);
+    const auto time = upstream.serviceTimes.find(workClass.name);
+    candidate.serviceTime = time == upstream.serviceTimes.end() ? DEFAULT_SERVICE_TIME : time->second;
+    const double reported = upstream.reported + upstream.running - upstream.runningAtReport;
+    const bool recent = now - upstream.reportedAt < REPORT_LIFETIME;
+    candidate.load = recent ? std::max(upstream.running, reported) : upstream.running;
+    candidate.slots = ref.slots;
+    candidate.weight = state.detector->weight(ref.id, workClass.name, now);
+    return candidate;
+}
+
+void RoutingTable::onStart(const std::string &service, const AttemptStart &start, Millis now)
+{
+    ServiceState &state = stateOf(service);
+    state.detector->onStart(start, now);
+    state.upstreams[start.upstream].running += 1;
+}
+
+void RoutingTable::onFinish(const std::string &service, const AttemptStart &start, AttemptResult result,
+                            Millis serviceTime, Millis network, Millis now)
+{
+    ServiceState &state = stateOf(service);
+    state.detector->onFinish(start.attempt, result, serviceTime, now);
+    UpstreamState &upstream = state.upstreams[start.upstream];
+    upstream.running = std::max(0.0, upstream.running - 1);
+    if (result != AttemptResult::Answered) {
+        return;
+    }
+    const auto time = upstream.serviceTimes.find(start.workClass);
+    const Millis known = time == upstream.serviceTimes.end() ? serviceTime : time->second;
+    upstream.serviceTimes[start.workClass] = blend(known, serviceTime);
+    const Millis sample(std::max(0.05, network.value));
+    upstream.network = upstream.network > Millis() ? blend(upstream.network, sample) : sample;
+}
+
+void RoutingTable::onLoad(const std::string &service, const std::string &upstream, const ReportedLoad &load)
+{
+    UpstreamState &state = stateOf(service).upstreams[upstream];
+    state.reported = load.requests;
+    state.runningAtReport = state.running;
+    state.reportedAt = load.at;
+}
+
+void RoutingTable::tick(Millis now)
+{
+    for (auto &[name, state] : m_services) {
+        for (const HealthChange &change : state.detector->tick(now)) {
+            logChange(name, change);
+        }
+    }
+}
+
+bool RoutingTable::isSaturated(const std::string &service)
+{
+    const auto found = m_view->upstreams.find(service);
+    if (found == m_view->upstreams.end()) {
+        return true;
+    }
+    ServiceState &state = stateOf(service);
+    return std::all_of(found->second.begin(), found->second.end(), [&state](const UpstreamRef &ref) {
+        const UpstreamState &upstream = state.upstreams[ref.id];
+        return std::max(upstream.reported, upstream.running) > ref.slots;
+    });
+}
+
+double RoutingTable::weight(const std::string &service, const std::string &upstream, const std::string &workClass,
+                            Millis now)
+{
+    return stateOf(service).detector->weight(upstream, workClass, now);
+}
+
+RoutingTable::ServiceState &RoutingTable::stateOf(const std::string &service)
+{
+    ServiceState &state = m_services[service];
+    if (!state.detector) {
+        state.detector = std::make_unique<SequentialDetector>(m_profile);
+    }
+    return state;
+}
+
+void RoutingTable::logChange(const std::string &service, const HealthChange &change) const
+{
+    logEvent(eventOf(change.kind),
+             {{"service", service},
+              {"upstream", change.upstream},
+              {"class", change.workClass.empty() ? "(path)" : change.workClass},
+              {"score", change.score},
+              {"holdMs", change.hold.value}});
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/slotturns.cpp
@@ -0,0 +1,43 @@
+#include "slotturns.h"
+
+namespace mustardpond {
+
+Turn SlotTurns::take(const std::shared_ptr<SlotQueue> &queue, Millis deadline, Millis remaining, Yield yield)
+{
+    const std::uint64_t ticket = m_nextTicket++;
+    switch (queue->request(ticket, deadline)) {
+    case SlotDecision::Granted:
+        return Turn::Taken;
+    case SlotDecision::Full:
+        return Turn::Full;
+    case SlotDecision::Queued:
+        break;
+    }
+    auto waiter = std::make_shared<Waiter>(m_context);
+    m_waiters[ticket] = waiter;
+    waiter->timer.expires_after(toDuration(remaining));
+    ErrorCode ignored;
+    waiter->timer.async_wait(yield[ignored]);
+    m_waiters.erase(ticket);
+    if (waiter->granted) {
+        return Turn::Taken;
+    }
+    queue->abandon(ticket);
+    return Turn::Expired;
+}
+
+void SlotTurns::release(const std::shared_ptr<SlotQueue> &queue)
+{
+    const auto next = queue->release();
+    if (!next) {
+        return;
+    }
+    const auto waiter = m_waiters.find(*next);
+    if (waiter == m_waiters.end()) {
+        return;
+    }
+    waiter->second->granted = true;
+    waiter->second->timer.cancel();
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/slotturns.h
@@ -0,0 +1,65 @@
+/// Lets coroutines wait for their turn at an upstream.
+#pragma once
+
+#include "decision/slotqueue.h"
+#include "net/net.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace mustardpond {
+
+enum class Turn : std::uint8_t { Taken, Full, Expired };
+
+/// Not thread-safe; the waiting coroutines run on one context.
+class SlotTurns
+{
+public:
+    explicit SlotTurns(asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    /// Takes a slot, waiting until the deadline if there is room to wait.
+    /// @param remaining time until the deadline
+    Turn take(const std::shared_ptr<SlotQueue> &queue, Millis deadline, Millis remaining, Yield yield);
+    /// Gives a taken slot back.
+    void release(const std::shared_ptr<SlotQueue> &queue);
+
+private:
+    struct Waiter {
+        explicit Waiter(asio::io_context &context)
+            : timer(context)
+        {
+        }
+        asio::steady_timer timer;
+        bool granted = false;
+    };
+
+    asio::io_context &m_context;
+    std::uint64_t m_nextTicket = 1;
+    std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> m_waiters;
+};
+
+/// Gives a slot back at the end of its scope.
+class SlotHold
+{
+public:
+    SlotHold(SlotTurns &turns, std::shared_ptr<SlotQueue> queue)
+        : m_turns(turns)
+        , m_queue(std::move(queue))
+    {
+    }
+    ~SlotHold()
+    {
+        m_turns.release(m_queue);
+    }
+    SlotHold(const SlotHold &) = delete;
+    SlotHold &operator=(const SlotHold &) = delete;
+
+private:
+    SlotTurns &m_turns;
+    std::shared_ptr<SlotQueue> m_queue;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/upstreamclient.cpp
@@ -0,0 +1,133 @@
+#include "upstreamclient.h"
+
+#include <algorithm>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr std::size_t MAX_IDLE = 64;
+
+bool isStale(beast::tcp_stream &stream)
+{
+    ErrorCode error;
+    char byte = 0;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+} // namespace
+
+UpstreamExchange::UpstreamExchange(std::unique_ptr<beast::tcp_stream> stream)
+    : m_stream(std::move(stream))
+{
+}
+
+void UpstreamExchange::sendHead(http::request<http::buffer_body> &request, Millis timeout, Yield yield)
+{
+    m_request = &request;
+    m_request->body().data = nullptr;
+    m_request->body().size = 0;
+    m_request->body().more = true;
+    m_serializer.emplace(request);
+    m_stream->expires_after(toDuration(timeout));
+    http::async_write_header(*m_stream, *m_serializer, yield);
+}
+
+void UpstreamExchange::sendBody(const std::string &chunk, bool last, Millis timeout, Yield yield)
+{
+    m_request->body().data = const_cast<char *>(chunk.data());
+    m_request->body().size = chunk.size();
+    m_request->body().more = !last;
+    m_stream->expires_after(toDuration(timeout));
+    ErrorCode error;
+    http::async_write(*m_stream, *m_serializer, yield[error]);
+    if (error && error != http::error::need_buffer) {
+        throw boost::system::system_error(error);
+    }
+}
+
+void UpstreamExchange::receiveHead(Millis timeout, Yield yield)
+{
+    m_parser.emplace();
+    m_parser->body_limit(UNLIMITED_BYTES);
+    m_stream->expires_after(toDuration(timeout));
+    if (m_request->method() == http::verb::head) {
+        m_parser->skip(true);
+    }
+    http::async_read_header(*m_stream, m_buffer, *m_parser, yield);
+}
+
+bool UpstreamExchange::receiveBody(std::string &body, std::size_t limit, Millis timeout, Yield yield)
+{
+    if (m_parser->is_done()) {
+        return false;
+    }
+    const std::size_t before = body.size();
+    body.resize(before + limit);
+    m_parser->get().body().data = body.data() + before;
+    m_parser->get().body().size = limit;
+    m_stream->expires_after(toDuration(timeout));
+    ErrorCode error;
+    http::async_read_some(*m_stream, m_buffer, *m_parser, yield[error]);
+    body.resize(before + limit - m_parser->get().body().size);
+    if (error && error != http::error::need_buffer) {
+        throw boost::system::system_error(error);
+    }
+    return !m_parser->is_done();
+}
+
+bool UpstreamExchange::reusable() const
+{
+    return m_parser && m_parser->is_done() && m_parser->get().keep_alive() && m_stream;
+}
+
+void UpstreamExchange::cancel()
+{
+    if (m_stream) {
+        ErrorCode ignored;
+        m_stream->socket().close(ignored);
+    }
+}
+
+std::unique_ptr<UpstreamExchange> UpstreamClient::open(const Endpoint &address, bool fresh, Millis timeout, Yield yield)
+{
+    auto stream = fresh ? nullptr : takeIdle(toString(address));
+    if (!stream) {
+        stream = std::make_unique<beast::tcp_stream>(m_context);
+        stream->expires_after(toDuration(timeout));
+        stream->async_connect(tcp::endpoint(asio::ip::make_address(address.address), address.port), yield);
+        stream->socket().set_option(tcp::no_delay(true));
+    }
+    return std::make_unique<UpstreamExchange>(std::move(stream));
+}
+
+void UpstreamClient::giveBack(const Endpoint &address, UpstreamExchange &exchange)
+{
+    if (!exchange.reusable()) {
+        return;
+    }
+    auto stream = exchange.takeStream();
+    stream->expires_never();
+    auto &idle = m_idle[toString(address)];
+    idle.push_back(std::move(stream));
+    if (idle.size() > MAX_IDLE) {
+        idle.pop_front();
+    }
+}
+
+std::unique_ptr<beast::tcp_stream> UpstreamClient::takeIdle(const std::string &address)
+{
+    auto &idle = m_idle[address];
+    while (!idle.empty()) {
+        auto stream = std::move(idle.back());
+        idle.pop_back();
+        if (!isStale(*stream)) {
+            return stream;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/upstreamclient.h
@@ -0,0 +1,78 @@
+/// HTTP exchanges with the backend servers of this host.
+#pragma once
+
+#include "config/daemonsettings.h"
+#include "net/net.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace mustardpond {
+
+using UpstreamFields = http::fields;
+
+/// One exchange on one connection. Methods throw boost::system::system_error when the connection fails or its time
+/// runs out.
+class UpstreamExchange
+{
+public:
+    explicit UpstreamExchange(std::unique_ptr<beast::tcp_stream> stream);
+
+    /// Sends the head; the first byte that can make the upstream run the request.
+    void sendHead(http::request<http::buffer_body> &request, Millis timeout, Yield yield);
+    void sendBody(const std::string &chunk, bool last, Millis timeout, Yield yield);
+    void receiveHead(Millis timeout, Yield yield);
+    /// Appends up to a number of bytes of the answer's body. False when the body has ended.
+    bool receiveBody(std::string &body, std::size_t limit, Millis timeout, Yield yield);
+
+    const http::response<http::buffer_body> &head() const
+    {
+        return m_parser->get();
+    }
+    /// Whether another exchange may follow on the connection.
+    bool reusable() const;
+    /// Makes pending and later calls fail; tells the upstream to cancel.
+    void cancel();
+    std::unique_ptr<beast::tcp_stream> takeStream()
+    {
+        return std::move(m_stream);
+    }
+
+private:
+    std::unique_ptr<beast::tcp_stream> m_stream;
+    beast::flat_buffer m_buffer;
+    http::request<http::buffer_body> *m_request = nullptr;
+    std::optional<http::request_serializer<http::buffer_body>> m_serializer;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+};
+
+/// Connections to upstreams, kept while they are idle.
+class UpstreamClient
+{
+public:
+    explicit UpstreamClient(asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    /// @param fresh whether the connection must be new, so that a failure is never that of an old one
+    std::unique_ptr<UpstreamExchange> open(const Endpoint &address, bool fresh, Millis timeout, Yield yield);
+    void giveBack(const Endpoint &address, UpstreamExchange &exchange);
+    /// Closes the idle connections to an address.
+    void drop(const Endpoint &address)
+    {
+        m_idle.erase(toString(address));
+    }
+
+private:
+    std::unique_ptr<beast::tcp_stream> takeIdle(const std::string &address);
+
+    asio::io_context &m_context;
+    std::unordered_map<std::string, std::deque<std::unique_ptr<beast::tcp_stream>>> m_idle;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/decision/include/decision/retrybudget.h
@@ -0,0 +1,32 @@
+/// Bounds retries to a share of recent first tries.
+#pragma once
+
+#include "foundation/clock.h"
+
+namespace mustardpond {
+
+struct RetryLimits {
+    double share = 0.1; ///< retries allowed per first try
+    double burst = 3; ///< retries that may be saved up
+};
+
+/// A token bucket that first tries fill and retries empty.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(RetryLimits limits = {})
+        : m_limits(limits)
+        , m_tokens(limits.burst)
+    {
+    }
+
+    void onFirstTry();
+    /// Takes one retry from the budget; false when there is none.
+    bool takeRetry();
+
+private:
+    RetryLimits m_limits;
+    double m_tokens;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/decision/include/decision/workclass.h
@@ -0,0 +1,30 @@
+/// Classes of work and their targets.
+#pragma once
+
+#include "foundation/clock.h"
+#include "foundation/enumtable.h"
+
+#include <cstdint>
+#include <string>
+
+namespace mustardpond {
+
+enum class WorkKind : std::uint8_t {
+    Idempotent, ///< may be run again without further effect
+    Irreversible, ///< must run at most once
+    Upload, ///< a large body that must arrive whole; running it again is harmless
+};
+
+constexpr EnumTable<WorkKind, 3> WORK_KIND_NAMES = {
+    {{WorkKind::Idempotent, "idempotent"}, {WorkKind::Irreversible, "irreversible"}, {WorkKind::Upload, "upload"}}};
+
+/// What operators ask of a class of work.
+struct WorkClass {
+    std::string name;
+    WorkKind kind = WorkKind::Idempotent;
+    Millis latencyTarget; ///< within which an answer counts as good
+    double successTarget = 0; ///< share of requests that must be good, in [0, 1)
+    Millis deadline; ///< after which a caller is answered in any case
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/decision/src/ledger.cpp
@@ -0,0 +1,139 @@
+#include "decision/ledger.h"
+
+namespace mustardpond {
+
+namespace {
+
+Admission admissionOf(OperationState state)
+{
+    switch (state) {
+    case OperationState::Open:
+        return Admission::Run;
+    case OperationState::Running:
+        return Admission::AlreadyRunning;
+    case OperationState::Ran:
+        return Admission::AlreadyRan;
+    case OperationState::Lost:
+        return Admission::Lost;
+    case OperationState::Closed:
+        return Admission::Closed;
+    }
+    return Admission::Foreign;
+}
+
+} // namespace
+
+Ledger::Ledger(Incarnation gate, LedgerLimits limits)
+    : m_gate(gate)
+    , m_limits(limits)
+{
+}
+
+std::optional<OperationId> Ledger::mint(const std::string &service, const std::string &organisation, Millis now)
+{
+    expire(now);
+    if (m_entries.size() >= m_limits.operations) {
+        return std::nullopt;
+    }
+    const std::uint64_t number = m_nextNumber++;
+    Entry entry;
+    entry.service = service;
+    entry.organisation = organisation;
+    m_entries.emplace(number, std::move(entry));
+    m_expiries.push_back({number, now + m_limits.lifetime});
+    return OperationId{m_gate, number};
+}
+
+Admission Ledger::check(const OperationId &id, const OperationBinding &binding, Millis now)
+{
+    expire(now);
+    const Entry *entry = find(id);
+    if (!entry) {
+        return Admission::Foreign;
+    }
+    const bool sameOwner = entry->service == binding.service && entry->organisation == binding.organisation;
+    const bool sameRequest = !entry->requestDigest || *entry->requestDigest == binding.requestDigest;
+    if (!sameOwner || !sameRequest) {
+        return Admission::Mismatch;
+    }
+    return admissionOf(entry->state);
+}
+
+Admission Ledger::begin(const OperationId &id, const OperationBinding &binding, Millis now)
+{
+    const Admission admission = check(id, binding, now);
+    if (admission != Admission::Run) {
+        return admission;
+    }
+    Entry *entry = find(id);
+    entry->state = OperationState::Running;
+    entry->requestDigest = binding.requestDigest;
+    return Admission::Run;
+}
+
+void Ledger::finish(const OperationId &id, RecordedAnswer answer)
+{
+    Entry *entry = find(id);
+    if (!entry || entry->state != OperationState::Running) {
+        return;
+    }
+    entry->state = OperationState::Ran;
+    entry->answer = std::make_shared<const RecordedAnswer>(std::move(answer));
+}
+
+void Ledger::lose(const OperationId &id)
+{
+    Entry *entry = find(id);
+    if (entry && entry->state == OperationState::Running) {
+        entry->state = OperationState::Lost;
+    }
+}
+
+void Ledger::release(const OperationId &id)
+{
+    Entry *entry = find(id);
+    if (entry && entry->state == OperationState::Running) {
+        entry->state = OperationState::Open;
+    }
+}
+
+std::optional<OperationState> Ledger::close(const OperationId &id, const std::string &organisation, Millis now)
+{
+    expire(now);
+    Entry *entry = find(id);
+    if (!entry || entry->organisation != organisation) {
+        return std::nullopt;
+    }
+    if (entry->state == OperationState::Open) {
+        entry->state = OperationState::Closed;
+    }
+    return entry->state;
+}
+
+std::shared_ptr<const RecordedAnswer> Ledger::answer(const OperationId &id) const
+{
+    if (id.gate != m_gate) {
+        return nullptr;
+    }
+    const auto found = m_entries.find(id.number);
+    return found == m_entries.end() ? nullptr : found->second.answer;
+}
+
+Ledger::Entry *Ledger::find(const OperationId &id)
+{
+    if (id.gate != m_gate) {
+        return nullptr;
+    }
+    const auto found = m_entries.find(id.number);
+    return found == m_entries.end() ? nullptr : &found->second;
+}
+
+void Ledger::expire(Millis now)
+{
+    while (!m_expiries.empty() && m_expiries.front().at <= now) {
+        m_entries.erase(m_expiries.front().number);
+        m_expiries.pop_front();
+    }
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/decision/src/slotqueue.cpp
@@ -0,0 +1,64 @@
+#include "decision/slotqueue.h"
+
+#include <algorithm>
+
+namespace mustardpond {
+
+bool SlotQueue::Waiting::operator<(const Waiting &other) const
+{
+    return deadline != other.deadline ? deadline < other.deadline : ticket < other.ticket;
+}
+
+SlotQueue::SlotQueue(std::size_t slots, std::size_t waiting)
+    : m_slots(slots)
+    , m_maxWaiting(waiting)
+{
+}
+
+SlotDecision SlotQueue::request(std::uint64_t ticket, Millis deadline)
+{
+    if (m_running < m_slots && m_waiting.empty()) {
+        ++m_running;
+        return SlotDecision::Granted;
+    }
+    if (m_waiting.size() >= m_maxWaiting) {
+        return SlotDecision::Full;
+    }
+    m_waiting.insert({deadline, ticket});
+    return SlotDecision::Queued;
+}
+
+std::optional<std::uint64_t> SlotQueue::release()
+{
+    m_running -= m_running > 0 ? 1 : 0;
+    return grantNext();
+}
+
+bool SlotQueue::abandon(std::uint64_t ticket)
+{
+    const auto found =
+        std::find_if(m_waiting.begin(), m_waiting.end(), [ticket](const Waiting &w) { return w.ticket == ticket; });
+    if (found == m_waiting.end()) {
+        return false;
+    }
+    m_waiting.erase(found);
+    return true;
+}
+
+void SlotQueue::resize(std::size_t slots)
+{
+    m_slots = slots;
+}
+
+std::optional<std::uint64_t> SlotQueue::grantNext()
+{
+    if (m_running >= m_slots || m_waiting.empty()) {
+        return std::nullopt;
+    }
+    const std::uint64_t ticket = m_waiting.begin()->ticket;
+    m_waiting.erase(m_waiting.begin());
+    ++m_running;
+    return ticket;
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/foundation/include/foundation/events.h
@@ -0,0 +1,80 @@
+/// Numbered log events. The catalogue for operators is docs/EVENTS.md; a test holds the two together.
+#pragma once
+
+#include "foundation/enumtable.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+
+namespace mustardpond {
+
+enum class Event : std::uint16_t {
+    Started = 100,
+    Stopping = 101,
+    Stopped = 102,
+    SettingsInvalid = 103,
+    UpstreamAnnounced = 200,
+    UpstreamDraining = 201,
+    UpstreamGone = 202,
+    UpstreamEjected = 210,
+    UpstreamReturned = 211,
+    EjectionHeldByFloor = 212,
+    SharedCause = 213,
+    RequestQuarantined = 220,
+    MemberJoined = 300,
+    MemberSuspected = 301,
+    MemberDead = 302,
+    MemberLeft = 303,
+    ObjectApplied = 400,
+    ObjectInvalid = 401,
+    StoreUnreachable = 402,
+    StoreReachable = 403,
+    RefusalRequested = 500,
+    RefusalInForce = 501,
+    RefusalEnded = 502,
+    PeerRejected = 600,
+    CallerRejected = 601,
+    AnswerDiscarded = 602,
+};
+
+constexpr EnumTable<Event, 26> EVENT_NAMES = {{
+    {Event::Started, "started"},
+    {Event::Stopping, "stopping"},
+    {Event::Stopped, "stopped"},
+    {Event::SettingsInvalid, "settings-invalid"},
+    {Event::UpstreamAnnounced, "upstream-announced"},
+    {Event::UpstreamDraining, "upstream-draining"},
+    {Event::UpstreamGone, "upstream-gone"},
+    {Event::UpstreamEjected, "upstream-ejected"},
+    {Event::UpstreamReturned, "upstream-returned"},
+    {Event::EjectionHeldByFloor, "ejection-held-by-floor"},
+    {Event::SharedCause, "shared-cause"},
+    {Event::RequestQuarantined, "request-quarantined"},
+    {Event::MemberJoined, "member-joined"},
+    {Event::MemberSuspected, "member-suspected"},
+    {Event::MemberDead, "member-dead"},
+    {Event::MemberLeft, "member-left"},
+    {Event::ObjectApplied, "object-applied"},
+    {Event::ObjectInvalid, "object-invalid"},
+    {Event::StoreUnreachable, "store-unreachable"},
+    {Event::StoreReachable, "store-reachable"},
+    {Event::RefusalRequested, "refusal-requested"},
+    {Event::RefusalInForce, "refusal-in-force"},
+    {Event::RefusalEnded, "refusal-ended"},
+    {Event::PeerRejected, "peer-rejected"},
+    {Event::CallerRejected, "caller-rejected"},
+    {Event::AnswerDiscarded, "answer-discarded"},
+}};
+
+enum class LogFormat { Text, Json };
+
+constexpr EnumTable<LogFormat, 2> LOG_FORMAT_NAMES = {{{LogFormat::Text, "text"}, {LogFormat::Json, "json"}}};
+
+/// Sets the process's logger: to standard error, as text or as one JSON object a line.
+void openLog(LogFormat format, const std::string &node);
+
+/// Logs an event with its fields, a JSON object. Warnings are events that an operator should look at.
+void logEvent(Event event, const nlohmann::json &fields);
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/foundation/src/errors.cpp
@@ -0,0 +1,18 @@
+#include "foundation/errors.h"
+
+#include <fmt/format.h>
+
+namespace mustardpond {
+
+InvalidField::InvalidField(const std::string &field, const std::string &found, const std::string &remedy)
+    : Exception(ErrorKind::InvalidField, fmt::format(ErrorMsg::INVALID_FIELD, field, found, remedy))
+    , m_field(field)
+{
+}
+
+StoreOutage::StoreOutage(const std::string &endpoint, const std::string &cause)
+    : Exception(ErrorKind::StoreOutage, fmt::format(ErrorMsg::STORE_OUTAGE, endpoint, cause))
+{
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/foundation/src/events.cpp
@@ -0,0 +1,81 @@
+#include "foundation/events.h"
+
+#include "foundation/clock.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace mustardpond {
+
+namespace {
+
+struct LogState {
+    LogFormat format = LogFormat::Text;
+    std::string node;
+};
+
+LogState &logState()
+{
+    static LogState state;
+    return state;
+}
+
+bool isWarning(Event event)
+{
+    switch (event) {
+    case Event::SettingsInvalid:
+    case Event::UpstreamEjected:
+    case Event::EjectionHeldByFloor:
+    case Event::SharedCause:
+    case Event::RequestQuarantined:
+    case Event::MemberDead:
+    case Event::ObjectInvalid:
+    case Event::StoreUnreachable:
+    case Event::RefusalRequested:
+    case Event::RefusalInForce:
+    case Event::PeerRejected:
+    case Event::AnswerDiscarded:
+        return true;
+    default:
+        return false;
+    }
+}
+
+std::string asText(Event event, const nlohmann::json &fields)
+{
+    std::string line = fmt::format("E{} {}", static_cast<int>(event), nameOf(EVENT_NAMES, event));
+    for (const auto &[key, value] : fields.items()) {
+        line += fmt::format(" {}={}", key, value.dump());
+    }
+    return line;
+}
+
+std::string asJson(Event event, nlohmann::json fields)
+{
+    fields["event"] = static_cast<int>(event);
+    fields["name"] = nameOf(EVENT_NAMES, event);
+    fields["node"] = logState().node;
+    fields["timeMs"] = static_cast<std::int64_t>(wallClockNow().value);
+    return fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+void openLog(LogFormat format, const std::string &node)
+{
+    logState() = {format, node};
+    auto logger = std::make_shared<spdlog::logger>("mustardpond", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    logger->set_pattern(format == LogFormat::Json ? "%v" : "%Y-%m-%dT%H:%M:%S.%e %L " + node + " %v");
+    logger->flush_on(spdlog::level::info);
+    spdlog::set_default_logger(logger);
+}
+
+void logEvent(Event event, const nlohmann::json &fields)
+{
+    const auto level = isWarning(event) ? spdlog::level::warn : spdlog::level::info;
+    const std::string line = logState().format == LogFormat::Json ? asJson(event, fields) : asText(event, fields);
+    spdlog::default_logger_raw()->log(level, spdlog::string_view_t(line));
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/foundation/src/fieldreader.cpp
@@ -0,0 +1,149 @@
+#include "foundation/fieldreader.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace mustardpond {
+
+FieldReader::FieldReader(const nlohmann::json &object, std::string path)
+    : m_object(object)
+    , m_path(std::move(path))
+{
+    if (!m_object.is_object()) {
+        throw InvalidField(m_path.empty() ? "(document)" : m_path, m_object.dump(), "write a JSON object here");
+    }
+}
+
+bool FieldReader::has(const std::string &name) const
+{
+    return m_object.contains(name);
+}
+
+std::string FieldReader::text(const std::string &name)
+{
+    const std::string remedy = "write a text of at least one character";
+    const auto &value = require(name, remedy);
+    if (!value.is_string() || value.get_ref<const std::string &>().empty()) {
+        fail(name, remedy);
+    }
+    return value.get<std::string>();
+}
+
+std::string FieldReader::text(const std::string &name, const std::string &fallback)
+{
+    m_known.insert(name);
+    return has(name) ? text(name) : fallback;
+}
+
+double FieldReader::number(const std::string &name, NumberRange range)
+{
+    const std::string remedy = fmt::format("write a number from {} to {}", range.least, range.greatest);
+    const auto &value = require(name, remedy);
+    if (!value.is_number()) {
+        fail(name, remedy);
+    }
+    const double found = value.get<double>();
+    if (found < range.least || found > range.greatest) {
+        fail(name, remedy);
+    }
+    return found;
+}
+
+double FieldReader::number(const std::string &name, NumberRange range, double fallback)
+{
+    m_known.insert(name);
+    return has(name) ? number(name, range) : fallback;
+}
+
+bool FieldReader::flag(const std::string &name, bool fallback)
+{
+    m_known.insert(name);
+    if (!has(name)) {
+        return fallback;
+    }
+    if (!m_object[name].is_boolean()) {
+        fail(name, "write true or false");
+    }
+    return m_object[name].get<bool>();
+}
+
+std::vector<std::string> FieldReader::texts(const std::string &name)
+{
+    m_known.insert(name);
+    std::vector<std::string> list;
+    if (!has(name)) {
+        return list;
+    }
+    if (!m_object[name].is_array()) {
+        fail(name, "write a list of texts");
+    }
+    for (const auto &entry : m_object[name]) {
+        if (!entry.is_string() || entry.get_ref<const std::string &>().empty()) {
+            fail(name, "write a list of texts, none of them empty");
+        }
+        list.push_back(entry.get<std::string>());
+    }
+    return list;
+}
+
+FieldReader FieldReader::object(const std::string &name)
+{
+    const auto &value = require(name, "write a JSON object here");
+    return {value, pathOf(name)};
+}
+
+void FieldReader::rejectOthers() const
+{
+    for (const auto &[name, value] : m_object.items()) {
+        if (m_known.count(name) == 0) {
+            std::string known;
+            for (const std::string &entry : m_known) {
+                known += known.empty() ? entry : ", " + entry;
+            }
+            fail(name, "remove it; the fields known here are " + known);
+        }
+    }
+}
+
+void FieldReader::fail(const std::string &name, const std::string &remedy) const
+{
+    throw InvalidField(pathOf(name), has(name) ? m_object[name].dump() : "missing", remedy);
+}
+
+std::string FieldReader::pathOf(const std::string &name) const
+{
+    return m_path.empty() ? name : m_path + "." + name;
+}
+
+const nlohmann::json &FieldReader::require(const std::string &name, const std::string &remedy)
+{
+    m_known.insert(name);
+    if (!has(name)) {
+        fail(name, remedy);
+    }
+    return m_object[name];
+}
+
+nlohmann::json parseJson(const std::string &text, const std::string &source)
+{
+    try {
+        return nlohmann::json::parse(text);
+    } catch (const nlohmann::json::exception &error) {
+        throw InvalidDocument(fmt::format(ErrorMsg::INVALID_DOCUMENT, source, error.what()));
+    }
+}
+
+nlohmann::json readJsonFile(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        throw InvalidDocument(fmt::format(ErrorMsg::FILE_UNREADABLE, path));
+    }
+    std::stringstream text;
+    text << file.rdbuf();
+    return parseJson(text.str(), path);
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/membership/src/member.cpp
@@ -0,0 +1,76 @@
+#include "membership/member.h"
+
+namespace mustardpond {
+
+bool supersedes(const Member &update, const Member &known)
+{
+    if (update.sequence != known.sequence) {
+        return update.sequence > known.sequence;
+    }
+    return update.state > known.state;
+}
+
+bool takesRequests(const Member &member)
+{
+    return member.state == MemberState::Alive || member.state == MemberState::Suspect;
+}
+
+wire::MemberRecordT toRecord(const Member &member)
+{
+    wire::MemberRecordT record;
+    record.node = member.node;
+    record.incarnationHigh = member.incarnation.high;
+    record.incarnationLow = member.incarnation.low;
+    record.sequence = member.sequence;
+    record.state = member.state;
+    record.region = member.region;
+    record.dataCentre = member.dataCentre;
+    record.inner = member.inner;
+    record.caller = member.caller;
+    for (const UpstreamInfo &upstream : member.upstreams) {
+        auto entry = std::make_unique<wire::UpstreamRecordT>();
+        entry->id = upstream.id;
+        entry->service = upstream.service;
+        entry->state = upstream.state;
+        entry->slots = upstream.slots;
+        record.upstreams.push_back(std::move(entry));
+    }
+    return record;
+}
+
+Member fromRecord(const wire::MemberRecordT &record)
+{
+    Member member;
+    member.node = record.node;
+    member.incarnation = {record.incarnationHigh, record.incarnationLow};
+    member.sequence = record.sequence;
+    member.state = record.state;
+    member.region = record.region;
+    member.dataCentre = record.dataCentre;
+    member.inner = record.inner;
+    member.caller = record.caller;
+    for (const auto &entry : record.upstreams) {
+        if (entry) {
+            member.upstreams.push_back({entry->id, entry->service, entry->state, entry->slots});
+        }
+    }
+    return member;
+}
+
+wire::ObjectRecordT toRecord(const StoredObject &object)
+{
+    wire::ObjectRecordT record;
+    record.kind = object.kind;
+    record.name = object.name;
+    record.version = object.version;
+    record.deleted = object.deleted;
+    record.value = object.value;
+    return record;
+}
+
+StoredObject fromRecord(const wire::ObjectRecordT &record)
+{
+    return {record.kind, record.name, record.version, record.deleted, record.value};
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/membership/src/membership.cpp
@@ -0,0 +1,463 @@
+#include "membership/membership.h"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr std::size_t RUMOUR_FANOUT = 2;
+constexpr std::size_t INDIRECT_PROBES = 3;
+constexpr std::size_t RUMOURS_PER_MESSAGE = 16;
+constexpr std::size_t SEEDS_ASKED = 3;
+constexpr double SENDINGS_FACTOR = 3;
+constexpr std::size_t OBJECTS_PER_MESSAGE = 500;
+constexpr std::size_t REMOTE_EVERY = 4; ///< one rumour message in so many goes to another data centre
+
+std::string keyOf(const Incarnation &incarnation)
+{
+    return fmt::format("{:016x}{:016x}", incarnation.high, incarnation.low);
+}
+
+} // namespace
+
+Membership::Membership(Member self, MembershipTimes times, Random &random)
+    : m_self(std::move(self))
+    , m_times(times)
+    , m_random(random)
+{
+    raiseSelf();
+}
+
+void Membership::raiseSelf()
+{
+    ++m_self.sequence;
+    m_known[keyOf(m_self.incarnation)].member = m_self;
+    m_memberRumours.add(keyOf(m_self.incarnation));
+}
+
+void Membership::setUpstreams(std::vector<UpstreamInfo> upstreams)
+{
+    m_self.upstreams = std::move(upstreams);
+    raiseSelf();
+}
+
+void Membership::leave()
+{
+    m_self.state = MemberState::Left;
+    raiseSelf();
+}
+
+bool Membership::applyObject(const StoredObject &object)
+{
+    if (!m_objects.apply(object)) {
+        return false;
+    }
+    m_objectRumours.add(ObjectTable::keyOf(object.kind, object.name));
+    m_objectChanges.push_back(object);
+    return true;
+}
+
+std::vector<OutgoingGossip> Membership::tick(Millis now)
+{
+    std::vector<OutgoingGossip> out;
+    expire(now);
+    followProbe(now, out);
+    if (now >= m_nextProbe) {
+        m_nextProbe = now + m_times.probePeriod;
+        if (peers(false).empty() && peers(true).empty()) {
+            askSeeds(out);
+        } else {
+            probe(now, out);
+        }
+    }
+    if (now >= m_nextRumour) {
+        m_nextRumour = now + m_times.rumourPeriod;
+        spread(now, out);
+    }
+    if (now >= m_nextCompare) {
+        m_nextCompare = now + m_times.comparePeriod * (0.5 + m_random.unit());
+        compare(now, out);
+    }
+    return out;
+}
+
+std::vector<OutgoingGossip> Membership::receive(const wire::GossipT &message, Millis now)
+{
+    std::vector<OutgoingGossip> out;
+    for (const auto &record : message.members) {
+        if (record) {
+            applyMember(fromRecord(*record), now);
+        }
+    }
+    for (const auto &record : message.objects) {
+        if (record) {
+            applyObject(fromRecord(*record));
+        }
+    }
+    if (!message.members.empty() && !message.pull) {
+        m_synced = true;
+    }
+    if (message.ping) {
+        answerPing(message, out);
+    }
+    if (message.ack) {
+        takeAck(*message.ack, out);
+    }
+    if (message.pull) {
+        answerPull(*message.pull, message.replyTo, out);
+    }
+    compareDigests(message, out);
+    return out;
+}
+
+void Membership::applyMember(const Member &update, Millis now)
+{
+    if (update.incarnation == m_self.incarnation) {
+        refute(update);
+        return;
+    }
+    const std::string key = keyOf(update.incarnation);
+    const auto found = m_known.find(key);
+    if (found == m_known.end()) {
+        m_known[key] = {update, now};
+        m_memberRumours.add(key);
+        m_memberChanges.push_back({update.node, update.state});
+        return;
+    }
+    Known &known = found->second;
+    if (!supersedes(update, known.member)) {
+        return;
+    }
+    const bool newState = update.state != known.member.state;
+    known.member = update;
+    known.since = newState ? now : known.since;
+    m_memberRumours.add(key);
+    m_memberChanges.push_back({update.node, update.state});
+}
+
+void Membership::refute(const Member &update)
+{
+    const bool wrong = update.state != m_self.state && update.sequence >= m_self.sequence;
+    if (wrong && m_self.state == MemberState::Alive) {
+        m_self.sequence = update.sequence;
+        raiseSelf();
+    }
+}
+
+void Membership::setState(Known &known, MemberState state, Millis now)
+{
+    known.member.state = state;
+    known.since = now;
+    m_memberRumours.add(keyOf(known.member.incarnation));
+    m_memberChanges.push_back({known.member.node, state});
+}
+
+void Membership::expire(Millis now)
+{
+    for (auto entry = m_known.begin(); entry != m_known.end();) {
+        Known &known = entry->second;
+        const bool gone = known.member.state == MemberState::Dead || known.member.state == MemberState::Left;
+        const bool isSelf = known.member.incarnation == m_self.incarnation;
+        if (!isSelf && known.member.state == MemberState::Suspect && now - known.since >= m_times.suspicion) {
+            setState(known, MemberState::Dead, now);
+        }
+        if (!isSelf && gone && now - known.since >= m_times.forgetDead) {
+            entry = m_known.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
+void Membership::probe(Millis now, std::vector<OutgoingGossip> &out)
+{
+    if (m_probe) {
+        return;
+    }
+    if (m_probeOrder.empty()) {
+        auto pool = peers(true);
+        m_probeOrder = randomPeers(pool.empty() ? peers(false) : pool, m_known.size());
+    }
+    if (m_probeOrder.empty()) {
+        return;
+    }
+    const std::string key = m_probeOrder.back();
+    m_probeOrder.pop_back();
+    const auto target = m_known.find(key);
+    if (target == m_known.end()) {
+        return;
+    }
+    m_probe = Probe{m_nextNumber++, key, now, false};
+    wire::GossipT message = newMessage();
+    message.ping = std::make_unique<wire::PingT>();
+    message.ping->number = m_probe->number;
+    message.ping->from = m_self.inner;
+    message.ping->target = key;
+    attachRumours(message);
+    out.push_back({target->second.member.inner, std::move(message)});
+}
+
+void Membership::followProbe(Millis now, std::vector<OutgoingGossip> &out)
+{
+    if (!m_probe) {
+        return;
+    }
+    const auto target = m_known.find(m_probe->key);
+    if (target == m_known.end()) {
+        m_probe.reset();
+        return;
+    }
+    if (!m_probe->indirect && now - m_probe->sentAt >= m_times.probeTimeout) {
+        m_probe->indirect = true;
+        for (const std::string &key : randomPeers(peers(true), INDIRECT_PROBES)) {
+            if (key == m_probe->key) {
+                continue;
+            }
+            wire::GossipT message = newMessage();
+            message.ping = std::make_unique<wire::PingT>();
+            message.ping->number = m_probe->number;
+            message.ping->from = m_self.inner;
+            message.ping->onBehalfOf = m_self.inner;
+            message.ping->target = m_probe->key;
+            out.push_back({m_known[key].member.inner, std::move(message)});
+        }
+    }
+    if (now - m_probe->sentAt >= m_times.indirectTimeout) {
+        if (target->second.member.state == MemberState::Alive) {
+            setState(target->second, MemberState::Suspect, now);
+        }
+        m_probe.reset();
+    }
+}
+
+void Membership::answerPing(const wire::GossipT &message, std::vector<OutgoingGossip> &out)
+{
+    const wire::PingT &ping = *message.ping;
+    const std::string selfKey = keyOf(m_self.incarnation);
+    if (!ping.onBehalfOf.empty() && ping.target != selfKey) {
+        const auto target = m_known.find(ping.target);
+        if (target == m_known.end()) {
+            return;
+        }
+        wire::GossipT relayed = newMessage();
+        relayed.ping = std::make_unique<wire::PingT>(ping);
+        relayed.ping->from = m_self.inner;
+        out.push_back({target->second.member.inner, std::move(relayed)});
+        return;
+    }
+    wire::GossipT reply = newMessage();
+    reply.ack = std::make_unique<wire::AckT>();
+    reply.ack->number = ping.number;
+    reply.ack->from = selfKey;
+    reply.ack->onBehalfOf = ping.onBehalfOf;
+    reply.ack->target = ping.target;
+    attachRumours(reply);
+    if (ping.target != selfKey) {
+        // The address was reused: tell the prober who lives here now.
+        reply.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(m_self)));
+    }
+    out.push_back({ping.from, std::move(reply)});
+}
+
+void Membership::takeAck(const wire::AckT &ack, std::vector<OutgoingGossip> &out)
+{
+    const bool mine = ack.onBehalfOf.empty() || ack.onBehalfOf == m_self.inner;
+    if (!mine) {
+        wire::GossipT relayed = newMessage();
+        relayed.ack = std::make_unique<wire::AckT>(ack);
+        out.push_back({ack.onBehalfOf, std::move(relayed)});
+        return;
+    }
+    if (!m_probe || m_probe->number != ack.number || m_probe->key != ack.target) {
+        return;
+    }
+    if (ack.from != ack.target) {
+        const auto replaced = m_known.find(ack.target);
+        if (replaced != m_known.end() && takesRequests(replaced->second.member)) {
+            setState(replaced->second, MemberState::Dead, m_probe->sentAt);
+        }
+    }
+    m_probe.reset();
+}
+
+void Membership::spread(Millis /*now*/, std::vector<OutgoingGossip> &out)
+{
+    if (m_memberRumours.empty() && m_objectRumours.empty()) {
+        return;
+    }
+    auto targets = randomPeers(peers(true), RUMOUR_FANOUT);
+    if (targets.size() < RUMOUR_FANOUT || m_random.below(REMOTE_EVERY) == 0) {
+        const auto remote = randomPeers(peers(false), 1);
+        targets.insert(targets.end(), remote.begin(), remote.end());
+    }
+    for (const std::string &key : targets) {
+        wire::GossipT message = newMessage();
+        attachRumours(message);
+        if (!message.members.empty() || !message.objects.empty()) {
+            out.push_back({m_known[key].member.inner, std::move(message)});
+        }
+    }
+}
+
+void Membership::compare(Millis /*now*/, std::vector<OutgoingGossip> &out)
+{
+    const bool local = m_random.below(REMOTE_EVERY) != 0;
+    auto pool = peers(local);
+    if (pool.empty()) {
+        pool = peers(!local);
+    }
+    for (const std::string &key : randomPeers(pool, 1)) {
+        wire::GossipT message = newMessage();
+        message.membersDigest = membersDigest();
+        message.objectsDigest = m_objects.digest() + 1;
+        out.push_back({m_known[key].member.inner, std::move(message)});
+    }
+}
+
+void Membership::compareDigests(const wire::GossipT &message, std::vector<OutgoingGossip> &out)
+{
+    if (message.membersDigest == 0 || message.replyTo.empty()) {
+        return;
+    }
+    const bool membersDiffer = message.membersDigest != membersDigest();
+    const bool objectsDiffer = message.objectsDigest != m_objects.digest() + 1;
+    if (!membersDiffer && !objectsDiffer) {
+        return;
+    }
+    wire::PullRequestT wanted;
+    wanted.from = m_self.inner;
+    wanted.wantMembers = membersDiffer;
+    wanted.wantObjects = objectsDiffer;
+    wire::GossipT request = newMessage();
+    request.pull = std::make_unique<wire::PullRequestT>(wanted);
+    out.push_back({message.replyTo, std::move(request)});
+    answerPull(wanted, message.replyTo, out);
+}
+
+void Membership::answerPull(const wire::PullRequestT &pull, const std::string &address,
+                            std::vector<OutgoingGossip> &out)
+{
+    if (address.empty()) {
+        return;
+    }
+    wire::GossipT reply = newMessage();
+    if (pull.wantMembers) {
+        for (const auto &[key, known] : m_known) {
+            reply.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(known.member)));
+        }
+    }
+    const auto objects = pull.wantObjects ? m_objects.all() : std::vector<StoredObject>();
+    for (const StoredObject &object : objects) {
+        reply.objects.push_back(std::make_unique<wire::ObjectRecordT>(toRecord(object)));
+        if (reply.objects.size() >= OBJECTS_PER_MESSAGE) {
+            out.push_back({address, std::move(reply)});
+            reply = newMessage();
+        }
+    }
+    if (!reply.members.empty() || !reply.objects.empty()) {
+        out.push_back({address, std::move(reply)});
+    }
+}
+
+void Membership::askSeeds(std::vector<OutgoingGossip> &out)
+{
+    std::vector<std::string> pool;
+    std::copy_if(m_seeds.begin(), m_seeds.end(), std::back_inserter(pool),
+                 [this](const std::string &seed) { return seed != m_self.inner; });
+    for (const std::string &seed : randomPeers(pool, SEEDS_ASKED)) {
+        wire::GossipT message = newMessage();
+        message.pull = std::make_unique<wire::PullRequestT>();
+        message.pull->from = m_self.inner;
+        message.pull->wantMembers = true;
+        message.pull->wantObjects = true;
+        attachRumours(message);
+        out.push_back({seed, std::move(message)});
+    }
+}
+
+wire::GossipT Membership::newMessage() const
+{
+    wire::GossipT message;
+    message.from = m_self.node;
+    message.replyTo = m_self.inner;
+    return message;
+}
+
+void Membership::attachRumours(wire::GossipT &message)
+{
+    for (const std::string &key : m_memberRumours.take(RUMOURS_PER_MESSAGE, sendings())) {
+        const auto found = m_known.find(key);
+        if (found != m_known.end()) {
+            message.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(found->second.member)));
+        }
+    }
+    for (const std::string &key : m_objectRumours.take(RUMOURS_PER_MESSAGE, sendings())) {
+        if (const StoredObject *object = m_objects.byKey(key)) {
+            message.objects.push_back(std::make_unique<wire::ObjectRecordT>(toRecord(*object)));
+        }
+    }
+}
+
+std::vector<std::string> Membership::peers(bool sameDataCentre) const
+{
+    std::vector<std::string> keys;
+    for (const auto &[key, known] : m_known) {
+        const bool same = known.member.dataCentre == m_self.dataCentre;
+        const bool isSelf = known.member.incarnation == m_self.incarnation;
+        if (!isSelf && same == sameDataCentre && takesRequests(known.member)) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
+std::vector<std::string> Membership::randomPeers(std::vector<std::string> pool, std::size_t count)
+{
+    const std::size_t taken = std::min(count, pool.size());
+    for (std::size_t index = 0; index < taken; ++index) {
+        std::swap(pool[index], pool[index + m_random.below(pool.size() - index)]);
+    }
+    pool.resize(taken);
+    return pool;
+}
+
+std::uint64_t Membership::membersDigest() const
+{
+    std::uint64_t digest = 1;
+    for (const auto &[key, known] : m_known) {
+        const auto seed = known.member.sequence * 8 + static_cast<std::uint64_t>(known.member.state);
+        digest ^= XXH64(key.data(), key.size(), seed);
+    }
+    return digest == 0 ? 1 : digest;
+}
+
+int Membership::sendings() const
+{
+    return static_cast<int>(std::ceil(SENDINGS_FACTOR * std::log2(static_cast<double>(m_known.size()) + 1)));
+}
+
+std::vector<Member> Membership::members() const
+{
+    std::vector<Member> list;
+    for (const auto &[key, known] : m_known) {
+        list.push_back(known.member);
+    }
+    return list;
+}
+
+std::vector<MemberChange> Membership::takeMemberChanges()
+{
+    return std::exchange(m_memberChanges, {});
+}
+
+std::vector<StoredObject> Membership::takeObjectChanges()
+{
+    return std::exchange(m_objectChanges, {});
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/net/include/net/httpstore.h
@@ -0,0 +1,29 @@
+/// The platform's object API over HTTP.
+#pragma once
+
+#include "config/daemonsettings.h"
+#include "config/objectstore.h"
+#include "net/httpcall.h"
+
+namespace mustardpond {
+
+/// Each call uses a connection of its own and blocks the calling thread.
+class HttpStore : public ObjectStore
+{
+public:
+    HttpStore(Endpoint endpoint, Millis timeout);
+
+    Listing list() override;
+    StoredObject read(const std::string &kind, const std::string &name) override;
+    std::uint64_t write(const StoredObject &object, std::uint64_t expectedVersion) override;
+    Listing watch(std::uint64_t revision, Millis timeout) override;
+
+private:
+    HttpReply call(const std::string &method, const std::string &target, const std::string &body, Millis timeout) const;
+    [[noreturn]] void failWith(const HttpReply &reply) const;
+
+    Endpoint m_endpoint;
+    Millis m_timeout;
+};
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/net/src/listener.cpp
@@ -0,0 +1,75 @@
+#include "net/listener.h"
+
+#include "foundation/errors.h"
+#include "foundation/events.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr Millis ACCEPT_PAUSE{50};
+
+} // namespace
+
+Listener::Listener(asio::io_context &context, Endpoint endpoint, Handler handler)
+    : m_context(context)
+    , m_endpoint(std::move(endpoint))
+    , m_handler(std::move(handler))
+    , m_acceptor(context)
+{
+}
+
+void Listener::start()
+{
+    const tcp::endpoint address(asio::ip::make_address(m_endpoint.address), m_endpoint.port);
+    m_acceptor.open(address.protocol());
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_acceptor.bind(address);
+    m_acceptor.listen();
+    asio::spawn(m_context, [self = shared_from_this()](Yield yield) { self->accept(yield); });
+}
+
+void Listener::stop()
+{
+    ErrorCode ignored;
+    m_acceptor.close(ignored);
+}
+
+void Listener::accept(Yield yield)
+{
+    while (m_acceptor.is_open()) {
+        tcp::socket socket(m_context);
+        ErrorCode error;
+        m_acceptor.async_accept(socket, yield[error]);
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        if (error) {
+            asio::steady_timer pause(m_context, toDuration(ACCEPT_PAUSE));
+            pause.async_wait(yield[error]);
+            continue;
+        }
+        auto shared = std::make_shared<tcp::socket>(std::move(socket));
+        asio::spawn(m_context,
+                    [self = shared_from_this(), shared](Yield inner) { self->serve(std::move(*shared), inner); });
+    }
+}
+
+void Listener::serve(tcp::socket socket, Yield yield)
+{
+    ++m_connections;
+    try {
+        m_handler(std::move(socket), yield);
+    } catch (const boost::system::system_error &) {
+        // The peer went away or was too slow; nothing is left to tell it.
+    } catch (const BadFrame &error) {
+        logEvent(Event::PeerRejected, {{"listener", toString(m_endpoint)}, {"cause", error.what()}});
+    } catch (const std::exception &error) {
+        logEvent(Event::CallerRejected, {{"listener", toString(m_endpoint)}, {"cause", error.what()}});
+    }
+    --m_connections;
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/testing/include/testing/httpserver.h
@@ -0,0 +1,52 @@
+/// A small HTTP server for stand-ins: every request is answered by one function.
+#pragma once
+
+#include "net/listener.h"
+#include "net/net.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace mustardpond::testing {
+
+using Request = http::request<http::string_body>;
+using Response = http::response<http::string_body>;
+
+/// Ends the connection without an answer.
+class NoAnswer : public std::exception
+{
+};
+
+class HttpServer
+{
+public:
+    /// The handler may wait; it throws NoAnswer to close the connection.
+    using Handler = std::function<Response(const Request &, tcp::socket &, Yield)>;
+
+    HttpServer(asio::io_context &context, const Endpoint &endpoint, Handler handler);
+    void start()
+    {
+        m_listener->start();
+    }
+
+private:
+    void serve(tcp::socket socket, Yield yield);
+
+    Handler m_handler;
+    std::shared_ptr<Listener> m_listener;
+};
+
+Response jsonResponse(http::status status, const std::string &body);
+
+/// The part of a target before "?", and the parameters after it.
+struct Target {
+    std::string path;
+    std::map<std::string, std::string> parameters;
+};
+Target parseTarget(const std::string &text);
+
+void sleepFor(asio::io_context &context, Millis time, Yield yield);
+
+} // namespace mustardpond::testing
--- /dev/null
+++ b/packages/testing/src/callers_main.cpp
@@ -0,0 +1,359 @@
+/// Load driver: callers that check every answer, and count what the upstreams' own records say.
+
+#include "testing/httpserver.h"
+
+#include "foundation/random.h"
+#include "net/httpcall.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <iostream>
+
+using namespace mustardpond;
+using namespace mustardpond::testing;
+
+namespace {
+
+constexpr Millis CALL_TIMEOUT{30000};
+constexpr Millis RECORD_TIMEOUT{5000};
+
+/// What callers of one class do.
+struct Work {
+    std::string name;
+    std::string kind; ///< lookup, operation or upload
+    std::string path;
+    std::size_t bytes = 0;
+    double weight = 1;
+};
+
+struct Plan {
+    std::vector<Endpoint> routers;
+    std::vector<Endpoint> upstreams;
+    std::vector<Work> works;
+    std::string organisation;
+    double rate = 100; ///< requests a second, all callers together
+    std::size_t connections = 10;
+    Millis duration{5000};
+    std::uint64_t seed = 1;
+    int tries = 5; ///< how often an upload or operation is sent again after "not run" or "unknown"
+};
+
+struct Totals {
+    std::uint64_t requests = 0;
+    std::uint64_t whole = 0;
+    std::uint64_t wrong = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t notRun = 0;
+    std::uint64_t failed = 0;
+    std::vector<double> latencies;
+    std::map<std::string, std::string> uploads; ///< acknowledged: mark and digest
+    std::vector<std::string> operations; ///< marks of operations, whatever their end
+    std::vector<std::string> notRunMarks; ///< marks whose caller was told that they were not run
+};
+
+class Caller
+{
+public:
+    Caller(asio::io_context &context, const Plan &plan, Totals &totals, std::size_t index)
+        : m_context(context)
+        , m_plan(plan)
+        , m_totals(totals)
+        , m_router(plan.routers[index % plan.routers.size()])
+        , m_random(plan.seed * 1000003 + index)
+        , m_name("c" + std::to_string(plan.seed) + "-" + std::to_string(index))
+    {
+    }
+
+    void run(Yield yield)
+    {
+        const Millis interval(1000.0 * static_cast<double>(m_plan.connections) / m_plan.rate);
+        const Millis start = m_clock.now() + interval * m_random.unit();
+        const Millis end = m_clock.now() + m_plan.duration;
+        for (Millis due = start; due < end; due = due + interval) {
+            const Millis wait = due - m_clock.now();
+            if (wait > Millis()) {
+                sleepFor(m_context, wait, yield);
+            }
+            const Millis startedAt = wait > Millis() ? m_clock.now() : due;
+            doOne(pick(), yield);
+            m_totals.latencies.push_back((m_clock.now() - startedAt).value);
+        }
+    }
+
+private:
+    struct Answer {
+        unsigned status = 0;
+        std::string outcome;
+        std::string reason;
+        std::string mark;
+        std::string digest;
+        std::string body;
+    };
+
+    const Work &pick()
+    {
+        double total = 0;
+        for (const Work &work : m_plan.works) {
+            total += work.weight;
+        }
+        double draw = m_random.unit() * total;
+        for (const Work &work : m_plan.works) {
+            draw -= work.weight;
+            if (draw <= 0) {
+                return work;
+            }
+        }
+        return m_plan.works.back();
+    }
+
+    void doOne(const Work &work, Yield yield)
+    {
+        ++m_totals.requests;
+        const std::string mark = m_name + "-" + std::to_string(++m_number);
+        if (work.kind == "operation") {
+            m_totals.operations.push_back(mark);
+        }
+        const std::string body = work.kind == "lookup" ? std::string() : mark + std::string(work.bytes, 'u');
+        std::string operation = work.kind == "operation" ? open(work, yield) : std::string();
+        for (int attempt = 0; attempt < m_plan.tries; ++attempt) {
+            if (work.kind == "operation" && operation.empty()) {
+                operation = open(work, yield);
+                continue;
+            }
+            const Answer answer = send(work, mark, body, operation, yield);
+            if (judge(work, mark, body, answer)) {
+                return;
+            }
+            if (answer.outcome == "not-run" && work.kind == "operation") {
+                m_totals.notRunMarks.push_back(mark + "/" + operation);
+                operation.clear();
+            }
+        }
+        ++m_totals.failed;
+    }
+
+    /// Whether the request has come to its end.
+    bool judge(const Work &work, const std::string &mark, const std::string &body, const Answer &answer)
+    {
+        if (answer.reason == "refused") {
+            ++m_totals.refused;
+            return true;
+        }
+        m_totals.unknown += answer.outcome == "unknown" ? 1 : 0;
+        m_totals.notRun += answer.outcome == "not-run" ? 1 : 0;
+        if (answer.status != 200) {
+            return false;
+        }
+        const std::string digest = std::to_string(XXH3_64bits(body.data(), body.size()));
+        const std::size_t length = mark.size() + 1 + (work.kind == "lookup" ? work.bytes : 0);
+        const bool own = answer.mark == mark && answer.body.compare(0, mark.size() + 1, mark + ":") == 0;
+        if (!own || answer.body.size() != length || answer.digest != digest) {
+            ++m_totals.wrong;
+            return true;
+        }
+        ++m_totals.whole;
+        if (work.kind == "upload") {
+            m_totals.uploads[mark] = digest;
+        }
+        return true;
+    }
+
+    std::string open(const Work &work, Yield yield)
+    {
+        http::request<http::string_body> request(http::verb::post, "/-/operations", 11);
+        request.set("Organisation", m_plan.organisation);
+        request.body() = nlohmann::json({{"path", work.path}, {"method", "POST"}}).dump();
+        request.prepare_payload();
+        const auto response = call(request, yield);
+        if (response.result_int() != 201) {
+            return {};
+        }
+        return nlohmann::json::parse(response.body()).at("operation").get<std::string>();
+    }
+
+    Answer send(const Work &work, const std::string &mark, const std::string &body, const std::string &operation,
+                Yield yield)
+    {
+        http::verb verb = http::verb::get;
+        std::string target = work.path + "/" + mark;
+        if (work.kind == "operation") {
+            verb = http::verb::post;
+        } else if (work.kind == "upload") {
+            verb = http::verb::put;
+        } else {
+            target += "?bytes=" + std::to_string(work.bytes);
+        }
+        http::request<http::string_body> request(verb, target, 11);
+        request.set("Mark", mark);
+        request.set("Organisation", m_plan.organisation);
+        if (!operation.empty()) {
+            request.set("Operation-Id", operation);
+        }
+        request.body() = body;
+        request.prepare_payload();
+        const auto response = call(request, yield);
+        Answer answer;
+        answer.status = response.result_int();
+        answer.outcome = std::string(response["Outcome"]);
+        answer.mark = std::string(response["Mark"]);
+        answer.digest = std::string(response["Digest-Seen"]);
+        answer.body = response.body();
+        if (answer.status != 200) {
+            const auto document = nlohmann::json::parse(answer.body, nullptr, false);
+            answer.reason = document.is_object() ? document.value("reason", "") : "";
+        }
+        return answer;
+    }
+
+    Response call(http::request<http::string_body> &request, Yield yield)
+    {
+        try {
+            if (!m_stream) {
+                m_stream = std::make_unique<beast::tcp_stream>(m_context);
+                m_stream->expires_after(toDuration(CALL_TIMEOUT));
+                m_stream->async_connect(tcp::endpoint(asio::ip::make_address(m_router.address), m_router.port), yield);
+                m_stream->socket().set_option(tcp::no_delay(true));
+                m_buffer.clear();
+            }
+            m_stream->expires_after(toDuration(CALL_TIMEOUT));
+            http::async_write(*m_stream, request, yield);
+            http::response_parser<http::string_body> parser;
+            parser.body_limit(UNLIMITED_BYTES);
+            http::async_read(*m_stream, m_buffer, parser, yield);
+            Response response = parser.release();
+            if (!response.keep_alive()) {
+                m_stream.reset();
+            }
+            return response;
+        } catch (const boost::system::system_error &) {
+            m_stream.reset();
+            m_router = m_plan.routers[m_random.below(m_plan.routers.size())];
+            return Response();
+        }
+    }
+
+    asio::io_context &m_context;
+    const Plan &m_plan;
+    Totals &m_totals;
+    Endpoint m_router;
+    SeededRandom m_random;
+    std::string m_name;
+    SteadyClock m_clock;
+    std::unique_ptr<beast::tcp_stream> m_stream;
+    beast::flat_buffer m_buffer;
+    int m_number = 0;
+};
+
+struct Verdict {
+    std::uint64_t duplicated = 0;
+    std::uint64_t lostUploads = 0;
+    std::uint64_t falseNotRun = 0;
+};
+
+Verdict judgeRecords(const Plan &plan, const Totals &totals)
+{
+    std::map<std::string, int> runs;
+    std::map<std::string, std::string> uploads;
+    for (const Endpoint &upstream : plan.upstreams) {
+        const HttpReply reply = callHttp({upstream, "GET", "/-/records", ""}, RECORD_TIMEOUT);
+        const auto document = nlohmann::json::parse(reply.body);
+        for (const auto &[mark, count] : document.at("runs").items()) {
+            runs[mark] += count.get<int>();
+        }
+        for (const auto &[mark, digest] : document.at("uploads").items()) {
+            uploads[mark] = digest.get<std::string>();
+        }
+    }
+    Verdict verdict;
+    for (const std::string &mark : totals.operations) {
+        verdict.duplicated += runs[mark] > 1 ? 1 : 0;
+    }
+    for (const auto &[mark, digest] : totals.uploads) {
+        verdict.lostUploads += uploads[mark] != digest ? 1 : 0;
+    }
+    return verdict;
+}
+
+double percentile(std::vector<double> &values, double share)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+    return values[index];
+}
+
+Work parseWork(const std::string &text)
+{
+    const auto document = nlohmann::json::parse(text);
+    return {document.value("name", ""), document.at("kind"), document.at("path"), document.value("bytes", 0U),
+            document.value("weight", 1.0)};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("callers that check every answer");
+    Plan plan;
+    std::vector<std::string> routers;
+    std::vector<std::string> upstreams;
+    std::vector<std::string> works;
+    double seconds = 5;
+    bool json = false;
+    app.add_option("--router", routers, "address:port")->required();
+    app.add_option("--upstream", upstreams, "address:port of an upstream's record");
+    app.add_option("--work", works, "JSON: kind, path, bytes, weight")->required();
+    app.add_option("--organisation", plan.organisation);
+    app.add_option("--rate", plan.rate);
+    app.add_option("--connections", plan.connections);
+    app.add_option("--seconds", seconds);
+    app.add_option("--seed", plan.seed);
+    app.add_option("--tries", plan.tries);
+    app.add_flag("--json", json, "latencies and totals as JSON");
+    CLI11_PARSE(app, argc, argv);
+    plan.duration = Millis(seconds * 1000);
+    for (const std::string &router : routers) {
+        plan.routers.push_back(parseEndpoint(router, "router"));
+    }
+    for (const std::string &upstream : upstreams) {
+        plan.upstreams.push_back(parseEndpoint(upstream, "upstream"));
+    }
+    for (const std::string &work : works) {
+        plan.works.push_back(parseWork(work));
+    }
+    asio::io_context context(1);
+    Totals totals;
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (std::size_t index = 0; index < plan.connections; ++index) {
+        callers.push_back(std::make_unique<Caller>(context, plan, totals, index));
+        asio::spawn(context, [caller = callers.back().get()](Yield yield) { caller->run(yield); });
+    }
+    context.run();
+    const Verdict verdict = judgeRecords(plan, totals);
+    if (json) {
+        std::cout << nlohmann::json({{"requests", totals.requests},
+                                     {"whole", totals.whole},
+                                     {"wrong", totals.wrong},
+                                     {"duplicated", verdict.duplicated},
+                                     {"refused", totals.refused},
+                                     {"lostUploads", verdict.lostUploads},
+                                     {"unknown", totals.unknown},
+                                     {"notRun", totals.notRun},
+                                     {"p50Ms", percentile(totals.latencies, 0.5)},
+                                     {"p99Ms", percentile(totals.latencies, 0.99)}})
+                         .dump()
+                  << "\n";
+    } else {
+        std::cout << "requests=" << totals.requests << " whole=" << totals.whole << " wrong=" << totals.wrong
+                  << " duplicated=" << verdict.duplicated << " refused=" << totals.refused
+                  << " lost_uploads=" << verdict.lostUploads << "\n";
+    }
+    const bool clean = totals.wrong + verdict.duplicated + totals.refused + verdict.lostUploads == 0;
+    return clean && totals.whole == totals.requests ? 0 : 1;
+}
--- /dev/null
+++ b/packages/testing/src/httpserver.cpp
@@ -0,0 +1,70 @@
+#include "testing/httpserver.h"
+
+#include <sstream>
+
+namespace mustardpond::testing {
+
+HttpServer::HttpServer(asio::io_context &context, const Endpoint &endpoint, Handler handler)
+    : m_handler(std::move(handler))
+    , m_listener(std::make_shared<Listener>(
+          context, endpoint, [this](tcp::socket socket, Yield yield) { serve(std::move(socket), yield); }))
+{
+}
+
+void HttpServer::serve(tcp::socket socket, Yield yield)
+{
+    socket.set_option(tcp::no_delay(true));
+    beast::flat_buffer buffer;
+    while (true) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(UNLIMITED_BYTES);
+        http::async_read_header(socket, buffer, parser, yield);
+        http::async_read(socket, buffer, parser, yield);
+        const Request request = parser.release();
+        Response response;
+        try {
+            response = m_handler(request, socket, yield);
+        } catch (const NoAnswer &) {
+            return;
+        }
+        response.version(request.version());
+        response.keep_alive(request.keep_alive());
+        response.prepare_payload();
+        http::async_write(socket, response, yield);
+        if (!response.keep_alive()) {
+            return;
+        }
+    }
+}
+
+Response jsonResponse(http::status status, const std::string &body)
+{
+    Response response(status, 11);
+    response.set(http::field::content_type, "application/json");
+    response.body() = body;
+    return response;
+}
+
+Target parseTarget(const std::string &text)
+{
+    Target target;
+    const auto mark = text.find('?');
+    target.path = text.substr(0, mark);
+    if (mark == std::string::npos) {
+        return target;
+    }
+    std::istringstream rest(text.substr(mark + 1));
+    for (std::string pair; std::getline(rest, pair, '&');) {
+        const auto equals = pair.find('=');
+        target.parameters[pair.substr(0, equals)] = equals == std::string::npos ? "" : pair.substr(equals + 1);
+    }
+    return target;
+}
+
+void sleepFor(asio::io_context &context, Millis time, Yield yield)
+{
+    asio::steady_timer timer(context, toDuration(time));
+    timer.async_wait(yield);
+}
+
+} // namespace mustardpond::testing
--- /dev/null
+++ b/packages/testing/src/upstream_main.cpp
@@ -0,0 +1,204 @@
+/// Stand-in for a backend server: slots, announcements, drain, and gray faults on command. It records each request
+/// that it runs, so that a test can judge what ran and how often.
+
+#include "testing/httpserver.h"
+
+#include "foundation/random.h"
+#include "net/httpcall.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+#include <xxhash.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace mustardpond;
+using namespace mustardpond::testing;
+
+namespace {
+
+constexpr std::chrono::milliseconds ANNOUNCE_PERIOD{1000};
+constexpr Millis ANNOUNCE_TIMEOUT{800};
+
+struct Options {
+    std::string id;
+    std::string service;
+    std::string listen;
+    std::string daemon;
+    unsigned slots = 5;
+    double serviceMs = 3;
+};
+
+struct Fault {
+    double extraMs = 0;
+    double errorShare = 0;
+    std::string onPath; ///< only requests whose path holds this text; empty for all
+    bool hang = false;
+    bool truncate = false;
+};
+
+std::string digestOf(const std::string &body)
+{
+    return std::to_string(XXH3_64bits(body.data(), body.size()));
+}
+
+class Upstream
+{
+public:
+    Upstream(asio::io_context &context, const Options &options)
+        : m_context(context)
+        , m_options(options)
+        , m_random(XXH64(options.id.data(), options.id.size(), 0))
+    {
+    }
+
+    Response handle(const Request &request, tcp::socket &socket, Yield yield)
+    {
+        const Target target = parseTarget(std::string(request.target()));
+        if (target.path == "/-/fault") {
+            return setFault(request);
+        }
+        if (target.path == "/-/records") {
+            return jsonResponse(http::status::ok, nlohmann::json({{"runs", m_runs}, {"uploads", m_uploads}}).dump());
+        }
+        if (target.path == "/-/state") {
+            m_state = request.body();
+            return jsonResponse(http::status::ok, "{}");
+        }
+        if (m_running >= m_options.slots) {
+            Response shed = jsonResponse(http::status::service_unavailable, "{}");
+            shed.set(http::field::retry_after, "1");
+            return shed;
+        }
+        ++m_running;
+        Response response = run(request, target, socket, yield);
+        --m_running;
+        return response;
+    }
+
+    std::string announcement() const
+    {
+        return nlohmann::json({{"id", m_options.id},
+                               {"service", m_options.service},
+                               {"address", m_options.listen},
+                               {"state", m_state},
+                               {"slots", m_options.slots}})
+            .dump();
+    }
+
+private:
+    Response run(const Request &request, const Target &target, tcp::socket &socket, Yield yield)
+    {
+        const std::string mark(request["Mark"]);
+        ++m_runs[mark];
+        if (beast::string_view(request["Poison"]) == "crash") {
+            std::raise(SIGKILL);
+        }
+        const bool faulty = m_fault.onPath.empty() || target.path.find(m_fault.onPath) != std::string::npos;
+        double time = m_options.serviceMs * (0.5 + m_random.unit());
+        time += faulty ? m_fault.extraMs : 0;
+        sleepFor(m_context, Millis(time), yield);
+        while (faulty && m_fault.hang) {
+            sleepFor(m_context, Millis(100), yield);
+        }
+        if (faulty && m_random.unit() < m_fault.errorShare) {
+            return jsonResponse(http::status::internal_server_error, R"({"error":"fault"})");
+        }
+        const std::string digest = digestOf(request.body());
+        if (request.method() == http::verb::put) {
+            m_uploads[mark] = digest;
+        }
+        Response response(http::status::ok, 11);
+        response.set("Mark", mark);
+        response.set("Digest-Seen", digest);
+        const auto bytes = target.parameters.find("bytes");
+        const std::size_t size = bytes == target.parameters.end() ? 0 : std::stoul(bytes->second);
+        response.body() = mark + ":";
+        response.body().append(size, 'x');
+        if (faulty && m_fault.truncate) {
+            truncate(response, socket, yield);
+        }
+        return response;
+    }
+
+    [[noreturn]] static void truncate(Response &response, tcp::socket &socket, Yield yield)
+    {
+        response.prepare_payload();
+        std::ostringstream text;
+        text << response;
+        const std::string whole = text.str();
+        asio::async_write(socket, asio::buffer(whole.data(), whole.size() - 1), yield);
+        throw NoAnswer();
+    }
+
+    Response setFault(const Request &request)
+    {
+        const auto document = nlohmann::json::parse(request.body());
+        m_fault.extraMs = document.value("extraMs", 0.0);
+        m_fault.errorShare = document.value("errorShare", 0.0);
+        m_fault.onPath = document.value("onPath", "");
+        m_fault.hang = document.value("hang", false);
+        m_fault.truncate = document.value("truncate", false);
+        return jsonResponse(http::status::ok, "{}");
+    }
+
+    asio::io_context &m_context;
+    Options m_options;
+    SeededRandom m_random;
+    Fault m_fault;
+    unsigned m_running = 0;
+    std::string m_state = "ready";
+    std::map<std::string, int> m_runs;
+    std::map<std::string, std::string> m_uploads;
+};
+
+void announceForever(asio::io_context &context, const Upstream &upstream, const Endpoint &daemon)
+{
+    asio::spawn(context, [&context, &upstream, daemon](Yield yield) {
+        while (true) {
+            try {
+                beast::tcp_stream stream(context);
+                stream.expires_after(toDuration(ANNOUNCE_TIMEOUT));
+                stream.async_connect(tcp::endpoint(asio::ip::make_address(daemon.address), daemon.port), yield);
+                http::request<http::string_body> request(http::verb::post, "/announce", 11);
+                request.body() = upstream.announcement();
+                request.keep_alive(false);
+                request.prepare_payload();
+                http::async_write(stream, request, yield);
+                beast::flat_buffer buffer;
+                Response response;
+                http::async_read(stream, buffer, response, yield);
+            } catch (const boost::system::system_error &) {
+                // The daemon is away; the next announcement tries again.
+            }
+            sleepFor(context, Millis(ANNOUNCE_PERIOD.count()), yield);
+        }
+    });
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("stand-in for a backend server");
+    Options options;
+    app.add_option("--id", options.id)->required();
+    app.add_option("--service", options.service)->required();
+    app.add_option("--listen", options.listen)->required();
+    app.add_option("--daemon", options.daemon, "local address of the daemon; none announces nothing");
+    app.add_option("--slots", options.slots);
+    app.add_option("--service-ms", options.serviceMs);
+    CLI11_PARSE(app, argc, argv);
+    asio::io_context context(1);
+    Upstream upstream(context, options);
+    HttpServer server(context, parseEndpoint(options.listen, "listen"),
+                      [&](const Request &request, tcp::socket &socket, Yield yield) {
+                          return upstream.handle(request, socket, yield);
+                      });
+    server.start();
+    if (!options.daemon.empty()) {
+        announceForever(context, upstream, parseEndpoint(options.daemon, "daemon"));
+    }
+    context.run();
+}
