--- a/packages/config/include/config/configsnapshot.h
+++ b/packages/config/include/config/configsnapshot.h
@@ -43,6 +43,11 @@
     {
         return m_routeCount;
     }
+    /// The version in force of each object, by "kind/name".
+    const std::unordered_map<std::string, std::uint64_t> &versions() const
+    {
+        return m_versions;
+    }
 
 private:
     friend class ConfigBuilder;
@@ -51,6 +56,7 @@
     std::unordered_map<std::string, WorkClass> m_workClasses;
     std::unordered_map<std::string, std::vector<RouteObject>> m_routes; ///< by prefix
     std::vector<ApprovedRefusal> m_refusals;
+    std::unordered_map<std::string, std::uint64_t> m_versions;
     std::size_t m_routeCount = 0;
 };
 
@@ -82,6 +88,7 @@
     ByName<WorkClass> m_workClasses;
     ByName<RouteObject> m_routes;
     ByName<RefusalObject> m_refusals;
+    std::unordered_map<std::string, std::uint64_t> m_versions;
 };
 
 } // namespace mustardpond
--- a/packages/config/include/config/daemonsettings.h
+++ b/packages/config/include/config/daemonsettings.h
@@ -1,6 +1,7 @@
 /// A daemon's own settings, from its JSON file.
 #pragma once
 
+#include "foundation/bytes.h"
 #include "foundation/clock.h"
 #include "foundation/events.h"
 
@@ -22,8 +23,8 @@
 
 struct DaemonLimits {
     std::size_t callerConnections = 4000;
-    std::size_t bufferedBodyBytes = 1024 * 1024; ///< larger bodies are streamed
-    std::size_t headBytes = 16 * 1024;
+    std::size_t bufferedBodyBytes = MIB; ///< larger bodies are streamed
+    std::size_t headBytes = 16 * KIB;
     std::size_t waitingPerSlot = 4; ///< requests that may wait at a gate, per slot of the upstream
     std::size_t operations = 100000; ///< open or remembered operations of a gate
     Millis operationLifetime{600000};
--- a/packages/config/src/configsnapshot.cpp
+++ b/packages/config/src/configsnapshot.cpp
@@ -73,10 +73,12 @@
     }
     if (object.deleted) {
         remove(*kind, object.name);
+        m_versions[ObjectTable::keyOf(object.kind, object.name)] = object.version;
         return;
     }
     try {
         parse(*kind, object);
+        m_versions[ObjectTable::keyOf(object.kind, object.name)] = object.version;
     } catch (const Exception &error) {
         m_onInvalid(object, error.what());
     }
@@ -129,6 +131,7 @@
     auto snapshot = std::make_shared<ConfigSnapshot>();
     snapshot->m_services = m_services;
     snapshot->m_workClasses = m_workClasses;
+    snapshot->m_versions = m_versions;
     for (const auto &[name, route] : m_routes) {
         snapshot->m_routes[route.prefix].push_back(route);
     }
--- a/packages/config/src/daemonsettings.cpp
+++ b/packages/config/src/daemonsettings.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr NumberRange COUNT_RANGE{1, 10000000};
-constexpr NumberRange BODY_RANGE_BYTES{1024, 64 * 1024 * 1024};
-constexpr NumberRange HEAD_RANGE_BYTES{1024, 1024 * 1024};
+constexpr NumberRange BODY_RANGE_BYTES{1024, 67108864};
+constexpr NumberRange HEAD_RANGE_BYTES{1024, 1048576};
 constexpr NumberRange LIFETIME_RANGE_MS{1000, 86400000};
 constexpr NumberRange WAIT_RANGE_MS{100, 3600000};
 constexpr NumberRange COST_RANGE{0.001, 1000};
--- a/packages/daemon/src/callersession.cpp
+++ b/packages/daemon/src/callersession.cpp
@@ -1,5 +1,6 @@
 #include "callersession.h"
 
+#include "foundation/bytes.h"
 #include "foundation/errors.h"
 #include "foundation/events.h"
 #include "gaterun.h"
@@ -21,7 +22,7 @@
 constexpr const char ORGANISATION_FIELD[] = "Organisation";
 constexpr const char DEADLINE_FIELD[] = "Deadline-Ms";
 constexpr const char IDEMPOTENCY_FIELD[] = "Idempotency-Key";
-constexpr std::size_t PIECE_BYTES = 64 * 1024;
+constexpr std::size_t PIECE_BYTES = 64 * KIB;
 constexpr Millis WRITE_TIMEOUT{30000};
 constexpr Millis DRAIN_TIME{500};
 constexpr Millis OPEN_TIMEOUT{500};
@@ -102,7 +103,7 @@
     {
     }
 
-    bool next(std::vector<std::uint8_t> &piece, Yield yield) override
+    bool next(std::vector<std::uint8_t> &piece, const Yield &yield) override
     {
         auto &parser = *m_session.m_parser;
         piece.resize(PIECE_BYTES);
@@ -130,21 +131,36 @@
 CallerSession::CallerSession(Router &router, tcp::socket socket)
     : m_router(router)
     , m_stream(std::move(socket))
+    , m_idleSince(router.clock().now())
 {
+    m_router.addSession(this);
     ErrorCode ignored;
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
 }
 
-void CallerSession::run(Yield yield)
+CallerSession::~CallerSession()
+{
+    m_router.removeSession(this);
+}
+
+Millis CallerSession::idleTime(Millis now) const
+{
+    return m_busy || m_buffer.size() > 0 ? Millis() : now - m_idleSince;
+}
+
+void CallerSession::run(const Yield &yield)
 {
     while (m_open && readHead(yield)) {
         const InFlight count(m_router.inFlight());
+        m_busy = true;
         handle(yield);
+        m_busy = false;
+        m_idleSince = m_router.clock().now();
     }
     drain(yield);
 }
 
-void CallerSession::drain(Yield yield)
+void CallerSession::drain(const Yield &yield)
 {
     // Closing with unread bytes would reset the connection and could destroy the last reply.
     ErrorCode error;
@@ -156,7 +172,7 @@
     }
 }
 
-bool CallerSession::readHead(Yield yield)
+bool CallerSession::readHead(const Yield &yield)
 {
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_router.settings().limits.headBytes));
@@ -173,7 +189,7 @@
     return false;
 }
 
-void CallerSession::rejectMalformed(ErrorCode error, Yield yield)
+void CallerSession::rejectMalformed(ErrorCode error, const Yield &yield)
 {
     m_open = false;
     if (error == http::error::header_limit) {
@@ -192,7 +208,7 @@
     }
 }
 
-void CallerSession::handle(Yield yield)
+void CallerSession::handle(const Yield &yield)
 {
     const auto &head = m_parser->get();
     if (beast::iequals(head[http::field::expect], "100-continue")) {
@@ -206,7 +222,7 @@
     proxy(yield);
 }
 
-void CallerSession::openOperation(Yield yield)
+void CallerSession::openOperation(const Yield &yield)
 {
     CallerRequest request;
     if (!readBody(request, yield)) {
@@ -273,7 +289,7 @@
     replyProblem(http::status::service_unavailable, "no gate could open an operation: try again", yield);
 }
 
-void CallerSession::proxy(Yield yield)
+void CallerSession::proxy(const Yield &yield)
 {
     const Millis startedAt = m_router.clock().now();
     CallerRequest request;
@@ -294,7 +310,7 @@
     reply(request, std::move(result), startedAt, yield);
 }
 
-bool CallerSession::classify(CallerRequest &request, Yield yield)
+bool CallerSession::classify(CallerRequest &request, const Yield &yield)
 {
     const auto &head = m_parser->get();
     if (!field(IDEMPOTENCY_FIELD).empty()) {
@@ -329,7 +345,7 @@
     return true;
 }
 
-bool CallerSession::refuse(const CallerRequest &request, Yield yield)
+bool CallerSession::refuse(const CallerRequest &request, const Yield &yield)
 {
     if (!request.operation.empty()) {
         return false;
@@ -355,7 +371,7 @@
     return true;
 }
 
-bool CallerSession::readBody(CallerRequest &request, Yield yield)
+bool CallerSession::readBody(CallerRequest &request, const Yield &yield)
 {
     const std::size_t limit = m_router.settings().limits.bufferedBodyBytes;
     CallerBody body(*this);
@@ -391,7 +407,7 @@
     }
 }
 
-void CallerSession::reply(const CallerRequest &request, DispatchResult result, Millis startedAt, Yield yield)
+void CallerSession::reply(const CallerRequest &request, DispatchResult result, Millis startedAt, const Yield &yield)
 {
     record(request, result, startedAt);
     if (request.source && !m_parser->is_done()) {
@@ -425,7 +441,7 @@
     m_router.burn().add(served, now);
 }
 
-void CallerSession::replyRan(DispatchResult &result, Yield yield)
+void CallerSession::replyRan(DispatchResult &result, const Yield &yield)
 {
     const wire::AnswerT &answer = result.answer;
     http::response<http::buffer_body> response;
@@ -453,7 +469,7 @@
     m_open = m_open && response.keep_alive();
 }
 
-void CallerSession::streamAnswer(DispatchResult &result, http::response<http::buffer_body> &response, Yield yield)
+void CallerSession::streamAnswer(DispatchResult &result, http::response<http::buffer_body> &response, const Yield &yield)
 {
     const std::uint64_t number = result.answer.request;
     std::vector<std::uint8_t> piece = std::move(result.answer.body);
@@ -506,7 +522,7 @@
     m_open = m_open && response.keep_alive() && (lengthKnown || response.chunked());
 }
 
-void CallerSession::replyProblem(http::status status, const std::string &detail, Yield yield)
+void CallerSession::replyProblem(http::status status, const std::string &detail, const Yield &yield)
 {
     wire::AnswerT answer;
     answer.outcome = wire::Outcome::NotRun;
@@ -514,7 +530,7 @@
     replyOutcome(status, answer, yield);
 }
 
-void CallerSession::replyOutcome(http::status status, const wire::AnswerT &answer, Yield yield)
+void CallerSession::replyOutcome(http::status status, const wire::AnswerT &answer, const Yield &yield)
 {
     const auto outcome = nameOf(OUTCOME_NAMES, static_cast<Outcome>(answer.outcome));
     const auto reason = nameOf(NOT_RUN_REASON_NAMES, static_cast<NotRunReason>(answer.reason));
@@ -526,7 +542,7 @@
     replyText(response, yield);
 }
 
-void CallerSession::replyText(http::response<http::string_body> &response, Yield yield)
+void CallerSession::replyText(http::response<http::string_body> &response, const Yield &yield)
 {
     response.keep_alive(keepAlive());
     response.prepare_payload();
--- a/packages/daemon/src/callersession.h
+++ b/packages/daemon/src/callersession.h
@@ -15,27 +15,33 @@
 {
 public:
     CallerSession(Router &router, tcp::socket socket);
-    void run(Yield yield);
+    ~CallerSession();
+    CallerSession(const CallerSession &) = delete;
+    CallerSession &operator=(const CallerSession &) = delete;
+
+    void run(const Yield &yield);
+    /// Time since the last answer, or since the connection; zero while a request is being read or served.
+    Millis idleTime(Millis now) const;
 
 private:
     using RequestParser = http::request_parser<http::buffer_body>;
 
-    void drain(Yield yield);
-    bool readHead(Yield yield);
-    void rejectMalformed(ErrorCode error, Yield yield);
-    void handle(Yield yield);
-    void openOperation(Yield yield);
-    void proxy(Yield yield);
-    bool classify(CallerRequest &request, Yield yield);
-    bool refuse(const CallerRequest &request, Yield yield);
-    bool readBody(CallerRequest &request, Yield yield);
+    void drain(const Yield &yield);
+    bool readHead(const Yield &yield);
+    void rejectMalformed(ErrorCode error, const Yield &yield);
+    void handle(const Yield &yield);
+    void openOperation(const Yield &yield);
+    void proxy(const Yield &yield);
+    bool classify(CallerRequest &request, const Yield &yield);
+    bool refuse(const CallerRequest &request, const Yield &yield);
+    bool readBody(CallerRequest &request, const Yield &yield);
     void takeHeaders(CallerRequest &request) const;
-    void reply(const CallerRequest &request, DispatchResult result, Millis startedAt, Yield yield);
-    void replyRan(DispatchResult &result, Yield yield);
-    void streamAnswer(DispatchResult &result, http::response<http::buffer_body> &response, Yield yield);
-    void replyProblem(http::status status, const std::string &detail, Yield yield);
-    void replyOutcome(http::status status, const wire::AnswerT &answer, Yield yield);
-    void replyText(http::response<http::string_body> &response, Yield yield);
+    void reply(const CallerRequest &request, DispatchResult result, Millis startedAt, const Yield &yield);
+    void replyRan(DispatchResult &result, const Yield &yield);
+    void streamAnswer(DispatchResult &result, http::response<http::buffer_body> &response, const Yield &yield);
+    void replyProblem(http::status status, const std::string &detail, const Yield &yield);
+    void replyOutcome(http::status status, const wire::AnswerT &answer, const Yield &yield);
+    void replyText(http::response<http::string_body> &response, const Yield &yield);
     void record(const CallerRequest &request, const DispatchResult &result, Millis startedAt);
     std::string field(const std::string &name) const;
     Millis deadlineFor(const WorkClass &workClass) const;
@@ -47,6 +53,8 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::optional<RequestParser> m_parser;
+    Millis m_idleSince;
+    bool m_busy = false;
     bool m_open = true;
 };
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -82,13 +82,13 @@
               {"local", toString(m_settings.local)}});
     m_signals.async_wait([this](ErrorCode error, int) {
         if (!error) {
-            asio::spawn(m_context, [this](Yield yield) { stopGracefully(yield); });
+            asio::spawn(m_context, [this](const Yield &yield) { stopGracefully(yield); });
         }
     });
     m_context.run();
 }
 
-void Daemon::stopGracefully(Yield yield)
+void Daemon::stopGracefully(const Yield &yield)
 {
     const auto router = m_kernel.find<Router>(ROUTER);
     const auto gate = m_kernel.find<Gate>(GATE);
@@ -97,17 +97,17 @@
     gate->leave();
     router->leave();
     const Millis startedAt = m_clock.now();
-    asio::steady_timer timer(m_context);
-    const auto finished = [&] {
-        const Millis waited = m_clock.now() - startedAt;
-        const bool idle = !router->isBusy() && !gate->isBusy();
-        return waited >= m_settings.limits.stopGrace || (idle && waited >= LEAVE_SPREAD);
+    const auto waitWhile = [&](const std::function<bool()> &condition) {
+        asio::steady_timer timer(m_context);
+        while (condition() && m_clock.now() - startedAt < m_settings.limits.stopGrace) {
+            timer.expires_after(toDuration(STOP_CHECK));
+            ErrorCode ignored;
+            timer.async_wait(yield[ignored]);
+        }
     };
-    while (!finished()) {
-        timer.expires_after(toDuration(STOP_CHECK));
-        ErrorCode ignored;
-        timer.async_wait(yield[ignored]);
-    }
+    waitWhile([&] { return m_clock.now() - startedAt < LEAVE_SPREAD; });
+    router->stopAccepting(yield);
+    waitWhile([&] { return router->isBusy() || gate->isBusy() || !router->isQuiet(); });
     m_kernel.stop();
     logEvent(Event::Stopped, {{"node", m_settings.node}});
     m_context.stop();
--- a/packages/daemon/src/daemon.h
+++ b/packages/daemon/src/daemon.h
@@ -21,7 +21,7 @@
     void run();
 
 private:
-    void stopGracefully(Yield yield);
+    void stopGracefully(const Yield &yield);
 
     DaemonSettings m_settings;
     asio::io_context m_context{1};
--- a/packages/daemon/src/dispatch.cpp
+++ b/packages/daemon/src/dispatch.cpp
@@ -39,7 +39,7 @@
 
 } // namespace
 
-DispatchResult Dispatch::run(Yield yield)
+DispatchResult Dispatch::run(const Yield &yield)
 {
     if (m_request.operation.empty()) {
         runFreely(yield);
@@ -49,7 +49,7 @@
     return std::move(m_result);
 }
 
-void Dispatch::runFreely(Yield yield)
+void Dispatch::runFreely(const Yield &yield)
 {
     m_shared.table.retryBudget(m_request.service).onFirstTry();
     while (remaining() > Millis()) {
@@ -118,7 +118,7 @@
     return m_shared.table.retryBudget(m_request.service).takeRetry();
 }
 
-void Dispatch::runOperation(Yield yield)
+void Dispatch::runOperation(const Yield &yield)
 {
     const auto id = parseOperationId(m_request.operation);
     if (!id) {
@@ -159,7 +159,7 @@
     closeOperation(gate, yield);
 }
 
-void Dispatch::closeOperation(const std::string &gate, Yield yield)
+void Dispatch::closeOperation(const std::string &gate, const Yield &yield)
 {
     const auto reason = m_result.answer.reason;
     const std::string detail = m_result.answer.detail;
@@ -185,7 +185,7 @@
     }
 }
 
-Dispatch::Attempt Dispatch::attemptAt(const UpstreamRef &ref, bool freshChannel, Yield yield)
+Dispatch::Attempt Dispatch::attemptAt(const UpstreamRef &ref, bool freshChannel, const Yield &yield)
 {
     Attempt attempt;
     AttemptStart start;
@@ -222,7 +222,7 @@
     return attempt;
 }
 
-void Dispatch::exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, Yield yield)
+void Dispatch::exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield)
 {
     const std::uint64_t number = attempt.answer.request;
     const std::string bytes = packMessage(message(ref, number));
@@ -244,7 +244,7 @@
     }
 }
 
-void Dispatch::sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, Yield yield)
+void Dispatch::sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield)
 {
     wire::FrameT first = channel.receive(attemptTimeout(), yield);
     if (auto *answer = first.body.AsAnswer()) {
@@ -322,7 +322,7 @@
     return message;
 }
 
-void Dispatch::pause(Millis time, Yield yield)
+void Dispatch::pause(Millis time, const Yield &yield)
 {
     asio::steady_timer timer(m_shared.context, toDuration(Millis(std::min(time.value, remaining().value))));
     ErrorCode ignored;
--- a/packages/daemon/src/dispatch.h
+++ b/packages/daemon/src/dispatch.h
@@ -62,7 +62,7 @@
 
     /// Always comes to an answer by the caller's deadline; "not run" only where a gate or the lack of any
     /// attempt proves it.
-    DispatchResult run(Yield yield);
+    DispatchResult run(const Yield &yield);
 
 private:
     /// What is known after one attempt.
@@ -72,18 +72,18 @@
         bool failed = false; ///< no answer came
     };
 
-    void runFreely(Yield yield);
-    void runOperation(Yield yield);
+    void runFreely(const Yield &yield);
+    void runOperation(const Yield &yield);
     bool settle(Attempt attempt, const UpstreamRef &ref);
-    Attempt attemptAt(const UpstreamRef &ref, bool freshChannel, Yield yield);
-    void exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, Yield yield);
-    void sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, Yield yield);
+    Attempt attemptAt(const UpstreamRef &ref, bool freshChannel, const Yield &yield);
+    void exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield);
+    void sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield);
     void noteFinish(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt, Millis startedAt);
-    void closeOperation(const std::string &gate, Yield yield);
+    void closeOperation(const std::string &gate, const Yield &yield);
     bool mayRetry(const Attempt &attempt);
     bool needsRetry(const Attempt &attempt) const;
     wire::ProxyRequestT message(const UpstreamRef &ref, std::uint64_t number) const;
-    void pause(Millis time, Yield yield);
+    void pause(Millis time, const Yield &yield);
     void settleNotRun(NotRunReason reason, const std::string &detail);
     void settleUnknown(const std::string &detail);
     Millis remaining() const;
--- a/packages/daemon/src/framechannel.cpp
+++ b/packages/daemon/src/framechannel.cpp
@@ -13,14 +13,14 @@
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
 }
 
-void FrameChannel::send(const std::string &bytes, Millis timeout, Yield yield)
+void FrameChannel::send(const std::string &bytes, Millis timeout, const Yield &yield)
 {
     m_stream.expires_after(toDuration(timeout));
     asio::async_write(m_stream, asio::buffer(bytes), yield);
     m_stream.expires_never();
 }
 
-wire::FrameT FrameChannel::receive(Millis timeout, Yield yield)
+wire::FrameT FrameChannel::receive(Millis timeout, const Yield &yield)
 {
     FrameHeader header{};
     m_stream.expires_after(toDuration(timeout));
--- a/packages/daemon/src/framechannel.h
+++ b/packages/daemon/src/framechannel.h
@@ -14,12 +14,12 @@
     explicit FrameChannel(tcp::socket socket);
 
     /// @param bytes a packed frame
-    void send(const std::string &bytes, Millis timeout, Yield yield);
-    wire::FrameT receive(Millis timeout, Yield yield);
+    void send(const std::string &bytes, Millis timeout, const Yield &yield);
+    wire::FrameT receive(Millis timeout, const Yield &yield);
 
     /// Receives a frame that must hold the given message for the given request.
     template <typename Message>
-    Message receiveFor(std::uint64_t request, Millis timeout, Yield yield);
+    Message receiveFor(std::uint64_t request, Millis timeout, const Yield &yield);
 
     tcp::socket &socket()
     {
@@ -38,7 +38,7 @@
 [[noreturn]] void rejectFrame(const wire::FrameT &frame);
 
 template <typename Message>
-Message FrameChannel::receiveFor(std::uint64_t request, Millis timeout, Yield yield)
+Message FrameChannel::receiveFor(std::uint64_t request, Millis timeout, const Yield &yield)
 {
     wire::FrameT frame = receive(timeout, yield);
     if (frame.body.type != wire::BodyUnionTraits<Message>::enum_value) {
--- a/packages/daemon/src/gate.cpp
+++ b/packages/daemon/src/gate.cpp
@@ -32,7 +32,7 @@
 Gate::Gate(asio::io_context &context, const Clock &clock, Incarnation incarnation, const DaemonSettings &settings)
     : m_gate(context, clock, incarnation, settings.limits)
     , m_listener(std::make_shared<Listener>(
-          context, settings.inner, [this](tcp::socket socket, Yield yield) { serve(std::move(socket), yield); }))
+          context, settings.inner, [this](tcp::socket socket, const Yield &yield) { serve(std::move(socket), yield); }))
 {
 }
 
@@ -46,7 +46,7 @@
     m_listener->stop();
 }
 
-void Gate::serve(tcp::socket socket, Yield yield)
+void Gate::serve(tcp::socket socket, const Yield &yield)
 {
     FrameChannel channel(std::move(socket));
     while (true) {
@@ -55,7 +55,7 @@
     }
 }
 
-void Gate::serveFrame(FrameChannel &channel, wire::FrameT &frame, Yield yield)
+void Gate::serveFrame(FrameChannel &channel, wire::FrameT &frame, const Yield &yield)
 {
     switch (frame.body.type) {
     case wire::Body::ProxyRequest:
@@ -74,14 +74,14 @@
     }
 }
 
-void Gate::runRequest(FrameChannel &channel, wire::ProxyRequestT request, Yield yield)
+void Gate::runRequest(FrameChannel &channel, wire::ProxyRequestT request, const Yield &yield)
 {
     const RunCount count(m_gate.running);
     GateRun run(m_gate, std::move(request), channel);
     run.run(yield);
 }
 
-void Gate::openOperation(FrameChannel &channel, const wire::OpenOperationT &request, Yield yield)
+void Gate::openOperation(FrameChannel &channel, const wire::OpenOperationT &request, const Yield &yield)
 {
     wire::OperationOpenedT reply;
     reply.request = request.request;
@@ -92,7 +92,7 @@
     channel.send(packMessage(std::move(reply)), SEND_TIMEOUT, yield);
 }
 
-void Gate::closeOperation(FrameChannel &channel, const wire::CloseOperationT &request, Yield yield)
+void Gate::closeOperation(FrameChannel &channel, const wire::CloseOperationT &request, const Yield &yield)
 {
     wire::AnswerT reply;
     reply.request = request.request;
--- a/packages/daemon/src/gate.h
+++ b/packages/daemon/src/gate.h
@@ -44,11 +44,11 @@
     }
 
 private:
-    void serve(tcp::socket socket, Yield yield);
-    void serveFrame(FrameChannel &channel, wire::FrameT &frame, Yield yield);
-    void openOperation(FrameChannel &channel, const wire::OpenOperationT &request, Yield yield);
-    void closeOperation(FrameChannel &channel, const wire::CloseOperationT &request, Yield yield);
-    void runRequest(FrameChannel &channel, wire::ProxyRequestT request, Yield yield);
+    void serve(tcp::socket socket, const Yield &yield);
+    void serveFrame(FrameChannel &channel, wire::FrameT &frame, const Yield &yield);
+    void openOperation(FrameChannel &channel, const wire::OpenOperationT &request, const Yield &yield);
+    void closeOperation(FrameChannel &channel, const wire::CloseOperationT &request, const Yield &yield);
+    void runRequest(FrameChannel &channel, wire::ProxyRequestT request, const Yield &yield);
 
     GateContext m_gate;
     std::shared_ptr<Listener> m_listener;
--- a/packages/daemon/src/gatepool.cpp
+++ b/packages/daemon/src/gatepool.cpp
@@ -21,7 +21,7 @@
     return nullptr;
 }
 
-std::unique_ptr<FrameChannel> GatePool::connect(const std::string &address, Millis timeout, Yield yield)
+std::unique_ptr<FrameChannel> GatePool::connect(const std::string &address, Millis timeout, const Yield &yield)
 {
     const Endpoint endpoint = parseEndpoint(address, "inner");
     tcp::socket socket(m_context);
@@ -36,7 +36,7 @@
     return std::make_unique<FrameChannel>(stream.release_socket());
 }
 
-std::unique_ptr<FrameChannel> GatePool::take(const std::string &address, Millis timeout, Yield yield)
+std::unique_ptr<FrameChannel> GatePool::take(const std::string &address, Millis timeout, const Yield &yield)
 {
     if (auto channel = takeIdle(address)) {
         return channel;
--- a/packages/daemon/src/gatepool.h
+++ b/packages/daemon/src/gatepool.h
@@ -24,9 +24,9 @@
     /// An idle channel, if one is known to be usable; null otherwise.
     std::unique_ptr<FrameChannel> takeIdle(const std::string &address);
     /// A new channel. Throws boost::system::system_error.
-    std::unique_ptr<FrameChannel> connect(const std::string &address, Millis timeout, Yield yield);
+    std::unique_ptr<FrameChannel> connect(const std::string &address, Millis timeout, const Yield &yield);
     /// takeIdle() or connect().
-    std::unique_ptr<FrameChannel> take(const std::string &address, Millis timeout, Yield yield);
+    std::unique_ptr<FrameChannel> take(const std::string &address, Millis timeout, const Yield &yield);
     void giveBack(const std::string &address, std::unique_ptr<FrameChannel> channel);
     /// Closes the idle channels to an address.
     void drop(const std::string &address)
--- a/packages/daemon/src/gaterun.cpp
+++ b/packages/daemon/src/gaterun.cpp
@@ -1,5 +1,6 @@
 #include "gaterun.h"
 
+#include "foundation/bytes.h"
 #include "foundation/errors.h"
 #include "foundation/events.h"
 
@@ -14,9 +15,9 @@
 constexpr Millis CONNECT_TIMEOUT{1000};
 constexpr Millis CRASH_CHECK_TIMEOUT{200};
 constexpr Millis ANSWER_GRACE{60000}; ///< for the answer of an irreversible run after its deadline
-constexpr std::size_t CHUNK_BYTES = 64 * 1024;
-constexpr std::size_t SMALL_ANSWER_BYTES = 256 * 1024;
-constexpr std::size_t RECORDED_BODY_BYTES = 64 * 1024;
+constexpr std::size_t CHUNK_BYTES = 64 * KIB;
+constexpr std::size_t SMALL_ANSWER_BYTES = 256 * KIB;
+constexpr std::size_t RECORDED_BODY_BYTES = 64 * KIB;
 
 constexpr const char DETAIL_LOST[] =
     "the upstream's answer was lost; the operation may have run and will not run again";
@@ -89,7 +90,7 @@
     }
 }
 
-void GateRun::run(Yield yield)
+void GateRun::run(const Yield &yield)
 {
     if (!m_request.streamed && bodyDigest(m_request.body) != m_request.digest) {
         throw BadFrame("a request's body does not match its digest: check the link between the daemons");
@@ -117,12 +118,12 @@
     runOnUpstream(*upstream, yield);
 }
 
-bool GateRun::resolveFromLedger(Yield yield)
+bool GateRun::resolveFromLedger(const Yield &yield)
 {
     return !admit(m_gate.ledger.check(*m_operation, binding(), m_gate.clock.now()), yield);
 }
 
-bool GateRun::admit(Admission admission, Yield yield)
+bool GateRun::admit(Admission admission, const Yield &yield)
 {
     if (admission == Admission::AlreadyRunning) {
         m_gate.waits.wait(*m_operation, remaining(), yield);
@@ -154,7 +155,7 @@
     return false;
 }
 
-void GateRun::runOnUpstream(LocalUpstream &upstream, Yield yield)
+void GateRun::runOnUpstream(LocalUpstream &upstream, const Yield &yield)
 {
     const std::string id = upstream.announced.id;
     const auto queue = upstream.queue;
@@ -178,7 +179,7 @@
     execute(*still, yield);
 }
 
-void GateRun::execute(LocalUpstream &upstream, Yield yield)
+void GateRun::execute(LocalUpstream &upstream, const Yield &yield)
 {
     const Endpoint address = upstream.announced.address;
     m_startedAt = m_gate.clock.now();
@@ -219,26 +220,26 @@
     }
 }
 
-std::unique_ptr<UpstreamExchange> GateRun::openUpstream(LocalUpstream &upstream, Yield yield)
+std::unique_ptr<UpstreamExchange> GateRun::openUpstream(LocalUpstream &upstream, const Yield &yield)
 {
     const Millis timeout(std::min(CONNECT_TIMEOUT.value, std::max(1.0, remaining().value)));
     m_freshConnection = isIrreversible();
     return m_gate.client.open(upstream.announced.address, m_freshConnection, timeout, yield);
 }
 
-void GateRun::exchange(UpstreamExchange &exchange, Yield yield)
+void GateRun::exchange(UpstreamExchange &exchange, const Yield &yield)
 {
     if (m_request.streamed) {
         wire::ProceedT proceed;
         proceed.request = m_request.request;
-        m_channel.send(packMessage(std::move(proceed)), CHANNEL_TIMEOUT, yield);
+        m_channel.send(packMessage(proceed), CHANNEL_TIMEOUT, yield);
     }
     m_dispatched = true;
     sendRequest(exchange, yield);
     receiveAnswer(exchange, yield);
 }
 
-void GateRun::sendRequest(UpstreamExchange &exchange, Yield yield)
+void GateRun::sendRequest(UpstreamExchange &exchange, const Yield &yield)
 {
     auto &request = m_upstreamRequest;
     request.method_string(m_request.method);
@@ -265,7 +266,7 @@
     exchange.sendBody(std::string(toText(m_request.body)), true, patience(), yield);
 }
 
-void GateRun::relayUpload(UpstreamExchange &exchange, Yield yield)
+void GateRun::relayUpload(UpstreamExchange &exchange, const Yield &yield)
 {
     XXH3_state_t *state = XXH3_createState();
     const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> owner(state, XXH3_freeState);
@@ -281,7 +282,7 @@
     }
 }
 
-void GateRun::receiveAnswer(UpstreamExchange &exchange, Yield yield)
+void GateRun::receiveAnswer(UpstreamExchange &exchange, const Yield &yield)
 {
     exchange.receiveHead(patience(), yield);
     std::string body;
@@ -312,7 +313,7 @@
     finish(std::move(answer), yield);
 }
 
-void GateRun::relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, Yield yield)
+void GateRun::relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, const Yield &yield)
 {
     if (isOperation()) {
         m_gate.ledger.finish(*m_operation, {answer.status, encodeHeaders(answer.headers), std::string()});
@@ -338,7 +339,7 @@
     }
 }
 
-void GateRun::recordFailure(const Endpoint &address, const std::string &cause, Yield yield)
+void GateRun::recordFailure(const Endpoint &address, const std::string &cause, const Yield &yield)
 {
     m_gate.client.drop(address);
     loseOperation();
@@ -353,7 +354,7 @@
     answerUnknown("the exchange with the upstream failed: " + cause, yield);
 }
 
-void GateRun::answerNotRun(NotRunReason reason, const std::string &detail, Yield yield)
+void GateRun::answerNotRun(NotRunReason reason, const std::string &detail, const Yield &yield)
 {
     wire::AnswerT answer = newAnswer(Outcome::NotRun);
     answer.reason = static_cast<wire::NotRunReason>(reason);
@@ -361,14 +362,14 @@
     finish(std::move(answer), yield);
 }
 
-void GateRun::answerUnknown(const std::string &detail, Yield yield)
+void GateRun::answerUnknown(const std::string &detail, const Yield &yield)
 {
     wire::AnswerT answer = newAnswer(Outcome::Unknown);
     answer.detail = detail;
     finish(std::move(answer), yield);
 }
 
-void GateRun::answerRecorded(const RecordedAnswer &recorded, Yield yield)
+void GateRun::answerRecorded(const RecordedAnswer &recorded, const Yield &yield)
 {
     wire::AnswerT answer = newAnswer(Outcome::Ran);
     answer.status = recorded.status;
@@ -378,7 +379,7 @@
     finish(std::move(answer), yield);
 }
 
-void GateRun::finish(wire::AnswerT answer, Yield yield)
+void GateRun::finish(wire::AnswerT answer, const Yield &yield)
 {
     m_channel.send(packMessage(std::move(answer)), CHANNEL_TIMEOUT, yield);
 }
--- a/packages/daemon/src/gaterun.h
+++ b/packages/daemon/src/gaterun.h
@@ -21,26 +21,26 @@
 
     /// Throws boost::system::system_error or BadFrame when the channel fails. What became of the request is then
     /// recorded all the same.
-    void run(Yield yield);
+    void run(const Yield &yield);
 
 private:
-    bool resolveFromLedger(Yield yield);
-    bool admit(Admission admission, Yield yield);
-    void runOnUpstream(LocalUpstream &upstream, Yield yield);
-    void execute(LocalUpstream &upstream, Yield yield);
-    std::unique_ptr<UpstreamExchange> openUpstream(LocalUpstream &upstream, Yield yield);
-    void exchange(UpstreamExchange &exchange, Yield yield);
-    void sendRequest(UpstreamExchange &exchange, Yield yield);
-    void relayUpload(UpstreamExchange &exchange, Yield yield);
-    void receiveAnswer(UpstreamExchange &exchange, Yield yield);
-    void relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, Yield yield);
+    bool resolveFromLedger(const Yield &yield);
+    bool admit(Admission admission, const Yield &yield);
+    void runOnUpstream(LocalUpstream &upstream, const Yield &yield);
+    void execute(LocalUpstream &upstream, const Yield &yield);
+    std::unique_ptr<UpstreamExchange> openUpstream(LocalUpstream &upstream, const Yield &yield);
+    void exchange(UpstreamExchange &exchange, const Yield &yield);
+    void sendRequest(UpstreamExchange &exchange, const Yield &yield);
+    void relayUpload(UpstreamExchange &exchange, const Yield &yield);
+    void receiveAnswer(UpstreamExchange &exchange, const Yield &yield);
+    void relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, const Yield &yield);
     void loseOperation();
-    void recordFailure(const Endpoint &address, const std::string &cause, Yield yield);
+    void recordFailure(const Endpoint &address, const std::string &cause, const Yield &yield);
 
-    void answerNotRun(NotRunReason reason, const std::string &detail, Yield yield);
-    void answerUnknown(const std::string &detail, Yield yield);
-    void answerRecorded(const RecordedAnswer &recorded, Yield yield);
-    void finish(wire::AnswerT answer, Yield yield);
+    void answerNotRun(NotRunReason reason, const std::string &detail, const Yield &yield);
+    void answerUnknown(const std::string &detail, const Yield &yield);
+    void answerRecorded(const RecordedAnswer &recorded, const Yield &yield);
+    void finish(wire::AnswerT answer, const Yield &yield);
     wire::AnswerT newAnswer(Outcome outcome) const;
 
     bool isOperation() const
--- a/packages/daemon/src/gossipsender.cpp
+++ b/packages/daemon/src/gossipsender.cpp
@@ -24,13 +24,13 @@
             continue;
         }
         queue.sending = true;
-        asio::spawn(m_context, [self = shared_from_this(), address = outgoing.address](Yield yield) {
+        asio::spawn(m_context, [self = shared_from_this(), address = outgoing.address](const Yield &yield) {
             self->drain(address, yield);
         });
     }
 }
 
-void GossipSender::drain(const std::string &address, Yield yield)
+void GossipSender::drain(const std::string &address, const Yield &yield)
 {
     try {
         auto channel = m_pool.take(address, CONNECT_TIMEOUT, yield);
--- a/packages/daemon/src/gossipsender.h
+++ b/packages/daemon/src/gossipsender.h
@@ -32,7 +32,7 @@
         std::deque<std::string> frames;
         bool sending = false;
     };
-    void drain(const std::string &address, Yield yield);
+    void drain(const std::string &address, const Yield &yield);
 
     asio::io_context &m_context;
     GatePool m_pool;
--- a/packages/daemon/src/localendpoint.cpp
+++ b/packages/daemon/src/localendpoint.cpp
@@ -29,14 +29,14 @@
     , m_router(router)
     , m_gate(gate)
     , m_listener(std::make_shared<Listener>(
-          context, settings.local, [this](tcp::socket socket, Yield yield) { serve(std::move(socket), yield); }))
+          context, settings.local, [this](tcp::socket socket, const Yield &yield) { serve(std::move(socket), yield); }))
 {
 }
 
 void LocalEndpoint::start()
 {
     m_listener->start();
-    asio::spawn(m_context, [this](Yield yield) { expire(yield); });
+    asio::spawn(m_context, [this](const Yield &yield) { expire(yield); });
 }
 
 void LocalEndpoint::stop()
@@ -45,7 +45,7 @@
     m_listener->stop();
 }
 
-void LocalEndpoint::expire(Yield yield)
+void LocalEndpoint::expire(const Yield &yield)
 {
     asio::steady_timer timer(m_context);
     while (!m_stopped) {
@@ -56,14 +56,15 @@
     }
 }
 
-void LocalEndpoint::serve(tcp::socket socket, Yield yield)
+void LocalEndpoint::serve(tcp::socket socket, const Yield &yield)
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer;
     while (true) {
-        Request request;
+        http::request_parser<http::string_body> parser;
         stream.expires_after(toDuration(IDLE_TIMEOUT));
-        http::async_read(stream, buffer, request, yield);
+        http::async_read(stream, buffer, parser, yield);
+        const Request request = parser.release();
         Response response = answer(request);
         response.version(request.version());
         response.keep_alive(request.keep_alive());
@@ -87,13 +88,15 @@
         response.body() = m_router.metrics().exposition();
     } else if (request.target() == "/status") {
         response.body() = statusText();
+    } else if (request.target() == "/config") {
+        response.body() = configText();
     } else if (request.target() == "/burn") {
         response.body() = burnText();
     } else if (request.target() == "/ready") {
         response.result(m_router.view().configured ? http::status::ok : http::status::service_unavailable);
     } else {
         response.result(http::status::not_found);
-        response.body() = R"({"error":"ask for /announce, /metrics, /status, /burn or /ready"})";
+        response.body() = R"({"error":"ask for /announce, /metrics, /status, /config, /burn or /ready"})";
     }
     return response;
 }
@@ -144,6 +147,18 @@
     return document.dump();
 }
 
+std::string LocalEndpoint::configText() const
+{
+    nlohmann::json versions = nlohmann::json::object();
+    const FleetView &view = m_router.view();
+    if (view.config) {
+        for (const auto &[key, version] : view.config->versions()) {
+            versions[key] = version;
+        }
+    }
+    return versions.dump();
+}
+
 std::string LocalEndpoint::burnText() const
 {
     const FleetView &view = m_router.view();
--- a/packages/daemon/src/localendpoint.h
+++ b/packages/daemon/src/localendpoint.h
@@ -11,7 +11,7 @@
 
 namespace mustardpond {
 
-/// Serves POST /announce, GET /metrics, /status, /burn and /ready.
+/// Serves POST /announce, GET /metrics, /status, /config, /burn and /ready.
 class LocalEndpoint : public Service
 {
 public:
@@ -24,12 +24,13 @@
     using Request = http::request<http::string_body>;
     using Response = http::response<http::string_body>;
 
-    void serve(tcp::socket socket, Yield yield);
+    void serve(tcp::socket socket, const Yield &yield);
     Response answer(const Request &request);
     Response announce(const Request &request);
     std::string statusText() const;
+    std::string configText() const;
     std::string burnText() const;
-    void expire(Yield yield);
+    void expire(const Yield &yield);
 
     asio::io_context &m_context;
     const Clock &m_clock;
--- a/packages/daemon/src/operationwaits.cpp
+++ b/packages/daemon/src/operationwaits.cpp
@@ -4,7 +4,7 @@
 
 namespace mustardpond {
 
-void OperationWaits::wait(const OperationId &id, Millis atMost, Yield yield)
+void OperationWaits::wait(const OperationId &id, Millis atMost, const Yield &yield)
 {
     auto timer = std::make_shared<asio::steady_timer>(m_context, toDuration(atMost));
     m_timers[id.number].push_back(timer);
--- a/packages/daemon/src/operationwaits.h
+++ b/packages/daemon/src/operationwaits.h
@@ -19,7 +19,7 @@
     }
 
     /// Waits until the operation's run has ended, at most for the given time.
-    void wait(const OperationId &id, Millis atMost, Yield yield);
+    void wait(const OperationId &id, Millis atMost, const Yield &yield);
     /// Wakes all who wait for the operation.
     void ended(const OperationId &id);
 
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -2,12 +2,15 @@
 
 #include "callersession.h"
 
+#include <algorithm>
+
 namespace mustardpond {
 
 namespace {
 
 constexpr Millis TICK{20};
 constexpr Millis CONFIGURATION_CHECK{50};
+constexpr Millis QUIET_TIME{2000};
 
 } // namespace
 
@@ -20,7 +23,7 @@
     , m_pool(context, settings.bindAddress)
     , m_nextRequest(random.next())
     , m_dispatch{context, clock, m_table, m_pool, m_metrics, m_nextRequest}
-    , m_listener(std::make_shared<Listener>(context, settings.caller, [this](tcp::socket socket, Yield yield) {
+    , m_listener(std::make_shared<Listener>(context, settings.caller, [this](tcp::socket socket, const Yield &yield) {
         CallerSession session(*this, std::move(socket));
         session.run(yield);
     }))
@@ -30,7 +33,7 @@
 void Router::start()
 {
     m_listener->start();
-    asio::spawn(m_context, [this](Yield yield) { tick(yield); });
+    asio::spawn(m_context, [this](const Yield &yield) { tick(yield); });
 }
 
 void Router::stop()
@@ -44,7 +47,14 @@
     m_leaving = true;
 }
 
-bool Router::awaitConfiguration(Millis atMost, Yield yield)
+bool Router::isQuiet() const
+{
+    const Millis now = m_clock.now();
+    return std::all_of(m_sessions.begin(), m_sessions.end(),
+                       [now](const CallerSession *session) { return session->idleTime(now) > QUIET_TIME; });
+}
+
+bool Router::awaitConfiguration(Millis atMost, const Yield &yield)
 {
     const Millis end = m_clock.now() + atMost;
     while (!view().configured && m_clock.now() < end) {
@@ -62,7 +72,7 @@
     }
 }
 
-void Router::tick(Yield yield)
+void Router::tick(const Yield &yield)
 {
     asio::steady_timer timer(m_context);
     while (!m_stopped) {
--- a/packages/daemon/src/router.h
+++ b/packages/daemon/src/router.h
@@ -9,9 +9,12 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace mustardpond {
 
+class CallerSession;
+
 class Router : public Service
 {
 public:
@@ -33,10 +36,16 @@
     }
     /// Asks callers to connect elsewhere; requests in flight go on.
     void leave();
+    /// Serves the callers that have connected already, and no others.
+    void stopAccepting(const Yield &yield) { m_listener->drain(yield); }
     bool isLeaving() const
     {
         return m_leaving;
     }
+    /// Whether no caller has a request here, nor has sent anything for a while.
+    bool isQuiet() const;
+    void addSession(const CallerSession *session) { m_sessions.insert(session); }
+    void removeSession(const CallerSession *session) { m_sessions.erase(session); }
     bool isBusy() const
     {
         return m_inFlight > 0;
@@ -83,12 +92,12 @@
         return m_inFlight;
     }
     /// Waits until configuration is known, at most until the time given. False when it is not.
-    bool awaitConfiguration(Millis atMost, Yield yield);
+    bool awaitConfiguration(Millis atMost, const Yield &yield);
     /// Reports that a request was held because all upstreams were full.
     void reportHeld(const std::string &service, const std::string &workClass);
 
 private:
-    void tick(Yield yield);
+    void tick(const Yield &yield);
 
     asio::io_context &m_context;
     const Clock &m_clock;
@@ -102,6 +111,7 @@
     DispatchContext m_dispatch;
     std::shared_ptr<Listener> m_listener;
     SaturationHandler m_onSaturation;
+    std::set<const CallerSession *> m_sessions;
     std::size_t m_inFlight = 0;
     bool m_leaving = false;
     bool m_stopped = false;
--- a/packages/daemon/src/slotturns.cpp
+++ b/packages/daemon/src/slotturns.cpp
@@ -2,7 +2,7 @@
 
 namespace mustardpond {
 
-Turn SlotTurns::take(const std::shared_ptr<SlotQueue> &queue, Millis deadline, Millis remaining, Yield yield)
+Turn SlotTurns::take(const std::shared_ptr<SlotQueue> &queue, Millis deadline, Millis remaining, const Yield &yield)
 {
     const std::uint64_t ticket = m_nextTicket++;
     switch (queue->request(ticket, deadline)) {
--- a/packages/daemon/src/slotturns.h
+++ b/packages/daemon/src/slotturns.h
@@ -22,7 +22,7 @@
 
     /// Takes a slot, waiting until the deadline if there is room to wait.
     /// @param remaining time until the deadline
-    Turn take(const std::shared_ptr<SlotQueue> &queue, Millis deadline, Millis remaining, Yield yield);
+    Turn take(const std::shared_ptr<SlotQueue> &queue, Millis deadline, Millis remaining, const Yield &yield);
     /// Gives a taken slot back.
     void release(const std::shared_ptr<SlotQueue> &queue);
 
--- a/packages/daemon/src/upstreamclient.cpp
+++ b/packages/daemon/src/upstreamclient.cpp
@@ -24,7 +24,7 @@
 {
 }
 
-void UpstreamExchange::sendHead(http::request<http::buffer_body> &request, Millis timeout, Yield yield)
+void UpstreamExchange::sendHead(http::request<http::buffer_body> &request, Millis timeout, const Yield &yield)
 {
     m_request = &request;
     m_request->body().data = nullptr;
@@ -35,7 +35,7 @@
     http::async_write_header(*m_stream, *m_serializer, yield);
 }
 
-void UpstreamExchange::sendBody(const std::string &chunk, bool last, Millis timeout, Yield yield)
+void UpstreamExchange::sendBody(const std::string &chunk, bool last, Millis timeout, const Yield &yield)
 {
     m_request->body().data = const_cast<char *>(chunk.data());
     m_request->body().size = chunk.size();
@@ -48,7 +48,7 @@
     }
 }
 
-void UpstreamExchange::receiveHead(Millis timeout, Yield yield)
+void UpstreamExchange::receiveHead(Millis timeout, const Yield &yield)
 {
     m_parser.emplace();
     m_parser->body_limit(UNLIMITED_BYTES);
@@ -59,7 +59,7 @@
     http::async_read_header(*m_stream, m_buffer, *m_parser, yield);
 }
 
-bool UpstreamExchange::receiveBody(std::string &body, std::size_t limit, Millis timeout, Yield yield)
+bool UpstreamExchange::receiveBody(std::string &body, std::size_t limit, Millis timeout, const Yield &yield)
 {
     if (m_parser->is_done()) {
         return false;
@@ -91,7 +91,7 @@
     }
 }
 
-std::unique_ptr<UpstreamExchange> UpstreamClient::open(const Endpoint &address, bool fresh, Millis timeout, Yield yield)
+std::unique_ptr<UpstreamExchange> UpstreamClient::open(const Endpoint &address, bool fresh, Millis timeout, const Yield &yield)
 {
     auto stream = fresh ? nullptr : takeIdle(toString(address));
     if (!stream) {
--- a/packages/daemon/src/upstreamclient.h
+++ b/packages/daemon/src/upstreamclient.h
@@ -23,11 +23,11 @@
     explicit UpstreamExchange(std::unique_ptr<beast::tcp_stream> stream);
 
     /// Sends the head; the first byte that can make the upstream run the request.
-    void sendHead(http::request<http::buffer_body> &request, Millis timeout, Yield yield);
-    void sendBody(const std::string &chunk, bool last, Millis timeout, Yield yield);
-    void receiveHead(Millis timeout, Yield yield);
+    void sendHead(http::request<http::buffer_body> &request, Millis timeout, const Yield &yield);
+    void sendBody(const std::string &chunk, bool last, Millis timeout, const Yield &yield);
+    void receiveHead(Millis timeout, const Yield &yield);
     /// Appends up to a number of bytes of the answer's body. False when the body has ended.
-    bool receiveBody(std::string &body, std::size_t limit, Millis timeout, Yield yield);
+    bool receiveBody(std::string &body, std::size_t limit, Millis timeout, const Yield &yield);
 
     const http::response<http::buffer_body> &head() const
     {
@@ -60,7 +60,7 @@
     }
 
     /// @param fresh whether the connection must be new, so that a failure is never that of an old one
-    std::unique_ptr<UpstreamExchange> open(const Endpoint &address, bool fresh, Millis timeout, Yield yield);
+    std::unique_ptr<UpstreamExchange> open(const Endpoint &address, bool fresh, Millis timeout, const Yield &yield);
     void giveBack(const Endpoint &address, UpstreamExchange &exchange);
     /// Closes the idle connections to an address.
     void drop(const Endpoint &address)
--- /dev/null
+++ b/packages/foundation/include/foundation/bytes.h
@@ -0,0 +1,11 @@
+/// Units of memory.
+#pragma once
+
+#include <cstddef>
+
+namespace mustardpond {
+
+constexpr std::size_t KIB = 1024;
+constexpr std::size_t MIB = 1024 * KIB;
+
+} // namespace mustardpond
--- a/packages/net/src/httpcall.cpp
+++ b/packages/net/src/httpcall.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-HttpReply exchange(asio::io_context &context, const HttpCall &call, Millis timeout, Yield yield)
+HttpReply exchange(asio::io_context &context, const HttpCall &call, Millis timeout, const Yield &yield)
 {
     beast::tcp_stream stream(context);
     stream.expires_after(toDuration(timeout));
@@ -34,7 +34,7 @@
     asio::io_context context;
     HttpReply reply;
     std::exception_ptr failure;
-    asio::spawn(context, [&](Yield yield) {
+    asio::spawn(context, [&](const Yield &yield) {
         try {
             reply = exchange(context, call, timeout, yield);
         } catch (const boost::system::system_error &) {
--- a/packages/net/src/listener.cpp
+++ b/packages/net/src/listener.cpp
@@ -28,7 +28,31 @@
     m_acceptor.set_option(tcp::acceptor::reuse_address(true));
     m_acceptor.bind(address);
     m_acceptor.listen();
-    asio::spawn(m_context, [self = shared_from_this()](Yield yield) { self->accept(yield); });
+    asio::spawn(m_context, [self = shared_from_this()](const Yield &yield) { self->accept(yield); });
+}
+
+void Listener::drain(const Yield &yield)
+{
+    // A connection in the backlog would be reset by closing, although its peer may have sent a request.
+    ErrorCode error;
+    m_acceptor.non_blocking(true, error);
+    m_acceptor.cancel(error);
+    while (!error) {
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            spawnServe(std::move(socket));
+        }
+    }
+    stop();
+    asio::post(m_context, yield);
+}
+
+void Listener::spawnServe(tcp::socket socket)
+{
+    auto shared = std::make_shared<tcp::socket>(std::move(socket));
+    asio::spawn(m_context,
+                [self = shared_from_this(), shared](const Yield &yield) { self->serve(std::move(*shared), yield); });
 }
 
 void Listener::stop()
@@ -37,7 +61,7 @@
     m_acceptor.close(ignored);
 }
 
-void Listener::accept(Yield yield)
+void Listener::accept(const Yield &yield)
 {
     while (m_acceptor.is_open()) {
         tcp::socket socket(m_context);
@@ -51,13 +75,11 @@
             pause.async_wait(yield[error]);
             continue;
         }
-        auto shared = std::make_shared<tcp::socket>(std::move(socket));
-        asio::spawn(m_context,
-                    [self = shared_from_this(), shared](Yield inner) { self->serve(std::move(*shared), inner); });
+        spawnServe(std::move(socket));
     }
 }
 
-void Listener::serve(tcp::socket socket, Yield yield)
+void Listener::serve(tcp::socket socket, const Yield &yield)
 {
     ++m_connections;
     try {
--- a/packages/testing/include/testing/httpserver.h
+++ b/packages/testing/include/testing/httpserver.h
@@ -23,7 +23,7 @@
 {
 public:
     /// The handler may wait; it throws NoAnswer to close the connection.
-    using Handler = std::function<Response(const Request &, tcp::socket &, Yield)>;
+    using Handler = std::function<Response(const Request &, tcp::socket &, const Yield &)>;
 
     HttpServer(asio::io_context &context, const Endpoint &endpoint, Handler handler);
     void start()
@@ -32,7 +32,7 @@
     }
 
 private:
-    void serve(tcp::socket socket, Yield yield);
+    void serve(tcp::socket socket, const Yield &yield);
 
     Handler m_handler;
     std::shared_ptr<Listener> m_listener;
@@ -47,6 +47,6 @@
 };
 Target parseTarget(const std::string &text);
 
-void sleepFor(asio::io_context &context, Millis time, Yield yield);
+void sleepFor(asio::io_context &context, Millis time, const Yield &yield);
 
 } // namespace mustardpond::testing
--- a/packages/testing/src/callers_main.cpp
+++ b/packages/testing/src/callers_main.cpp
@@ -52,7 +52,6 @@
     std::vector<double> latencies;
     std::map<std::string, std::string> uploads; ///< acknowledged: mark and digest
     std::vector<std::string> operations; ///< marks of operations, whatever their end
-    std::vector<std::string> notRunMarks; ///< marks whose caller was told that they were not run
 };
 
 class Caller
@@ -68,7 +67,7 @@
     {
     }
 
-    void run(Yield yield)
+    void run(const Yield &yield)
     {
         const Millis interval(1000.0 * static_cast<double>(m_plan.connections) / m_plan.rate);
         const Millis start = m_clock.now() + interval * m_random.unit();
@@ -110,14 +109,18 @@
         return m_plan.works.back();
     }
 
-    void doOne(const Work &work, Yield yield)
+    void doOne(const Work &work, const Yield &yield)
     {
         ++m_totals.requests;
         const std::string mark = m_name + "-" + std::to_string(++m_number);
         if (work.kind == "operation") {
             m_totals.operations.push_back(mark);
         }
-        const std::string body = work.kind == "lookup" ? std::string() : mark + std::string(work.bytes, 'u');
+        std::string body;
+        if (work.kind != "lookup") {
+            body = mark;
+            body.append(work.bytes, 'u');
+        }
         std::string operation = work.kind == "operation" ? open(work, yield) : std::string();
         for (int attempt = 0; attempt < m_plan.tries; ++attempt) {
             if (work.kind == "operation" && operation.empty()) {
@@ -129,7 +132,6 @@
                 return;
             }
             if (answer.outcome == "not-run" && work.kind == "operation") {
-                m_totals.notRunMarks.push_back(mark + "/" + operation);
                 operation.clear();
             }
         }
@@ -162,7 +164,7 @@
         return true;
     }
 
-    std::string open(const Work &work, Yield yield)
+    std::string open(const Work &work, const Yield &yield)
     {
         http::request<http::string_body> request(http::verb::post, "/-/operations", 11);
         request.set("Organisation", m_plan.organisation);
@@ -176,7 +178,7 @@
     }
 
     Answer send(const Work &work, const std::string &mark, const std::string &body, const std::string &operation,
-                Yield yield)
+                const Yield &yield)
     {
         http::verb verb = http::verb::get;
         std::string target = work.path + "/" + mark;
@@ -209,7 +211,7 @@
         return answer;
     }
 
-    Response call(http::request<http::string_body> &request, Yield yield)
+    Response call(http::request<http::string_body> &request, const Yield &yield)
     {
         try {
             if (!m_stream) {
@@ -232,7 +234,7 @@
         } catch (const boost::system::system_error &) {
             m_stream.reset();
             m_router = m_plan.routers[m_random.below(m_plan.routers.size())];
-            return Response();
+            return Response(http::status::unknown, 11);
         }
     }
 
@@ -251,7 +253,6 @@
 struct Verdict {
     std::uint64_t duplicated = 0;
     std::uint64_t lostUploads = 0;
-    std::uint64_t falseNotRun = 0;
 };
 
 Verdict judgeRecords(const Plan &plan, const Totals &totals)
@@ -332,7 +333,7 @@
     std::vector<std::unique_ptr<Caller>> callers;
     for (std::size_t index = 0; index < plan.connections; ++index) {
         callers.push_back(std::make_unique<Caller>(context, plan, totals, index));
-        asio::spawn(context, [caller = callers.back().get()](Yield yield) { caller->run(yield); });
+        asio::spawn(context, [caller = callers.back().get()](const Yield &yield) { caller->run(yield); });
     }
     context.run();
     const Verdict verdict = judgeRecords(plan, totals);
--- a/packages/testing/src/httpserver.cpp
+++ b/packages/testing/src/httpserver.cpp
@@ -7,11 +7,11 @@
 HttpServer::HttpServer(asio::io_context &context, const Endpoint &endpoint, Handler handler)
     : m_handler(std::move(handler))
     , m_listener(std::make_shared<Listener>(
-          context, endpoint, [this](tcp::socket socket, Yield yield) { serve(std::move(socket), yield); }))
+          context, endpoint, [this](tcp::socket socket, const Yield &yield) { serve(std::move(socket), yield); }))
 {
 }
 
-void HttpServer::serve(tcp::socket socket, Yield yield)
+void HttpServer::serve(tcp::socket socket, const Yield &yield)
 {
     socket.set_option(tcp::no_delay(true));
     beast::flat_buffer buffer;
@@ -61,7 +61,7 @@
     return target;
 }
 
-void sleepFor(asio::io_context &context, Millis time, Yield yield)
+void sleepFor(asio::io_context &context, Millis time, const Yield &yield)
 {
     asio::steady_timer timer(context, toDuration(time));
     timer.async_wait(yield);
--- a/packages/testing/src/links_main.cpp
+++ b/packages/testing/src/links_main.cpp
@@ -4,6 +4,8 @@
 
 #include "testing/httpserver.h"
 
+#include "foundation/bytes.h"
+
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
@@ -17,7 +19,7 @@
 
 constexpr Millis SAME_REGION_LATENCY{1};
 constexpr Millis OTHER_REGION_LATENCY{8};
-constexpr std::size_t CHUNK_BYTES = 64 * 1024;
+constexpr std::size_t CHUNK_BYTES = 64 * KIB;
 constexpr Millis CUT_CHECK{20};
 
 struct Cuts {
@@ -59,8 +61,8 @@
 
     void start()
     {
-        asio::spawn(m_context, [self = shared_from_this()](Yield yield) { self->read(yield); });
-        asio::spawn(m_context, [self = shared_from_this()](Yield yield) { self->write(yield); });
+        asio::spawn(m_context, [self = shared_from_this()](const Yield &yield) { self->read(yield); });
+        asio::spawn(m_context, [self = shared_from_this()](const Yield &yield) { self->write(yield); });
     }
 
 private:
@@ -69,7 +71,7 @@
         std::string bytes;
     };
 
-    void read(Yield yield)
+    void read(const Yield &yield)
     {
         ErrorCode error;
         std::string bytes(CHUNK_BYTES, '\0');
@@ -84,7 +86,7 @@
         m_wake.cancel();
     }
 
-    void write(Yield yield)
+    void write(const Yield &yield)
     {
         ErrorCode error;
         while (!error) {
@@ -122,7 +124,7 @@
     bool m_ended = false;
 };
 
-void relay(asio::io_context &context, const Cuts &cuts, tcp::socket accepted, const Endpoint &target, Yield yield)
+void relay(asio::io_context &context, const Cuts &cuts, tcp::socket accepted, const Endpoint &target, const Yield &yield)
 {
     auto near = std::make_shared<tcp::socket>(std::move(accepted));
     const auto source = near->remote_endpoint().address();
@@ -160,12 +162,12 @@
         const Endpoint target = parseEndpoint(host, "host");
         Endpoint listen = target;
         listen.address.replace(0, 5, "127.2");
-        listeners.push_back(std::make_shared<Listener>(context, listen, [&, target](tcp::socket socket, Yield yield) {
+        listeners.push_back(std::make_shared<Listener>(context, listen, [&, target](tcp::socket socket, const Yield &yield) {
             relay(context, cuts, std::move(socket), target, yield);
         }));
         listeners.back()->start();
     }
-    HttpServer server(context, parseEndpoint(control, "control"), [&](const Request &request, tcp::socket &, Yield) {
+    HttpServer server(context, parseEndpoint(control, "control"), [&](const Request &request, tcp::socket &, const Yield &) {
         const auto document = nlohmann::json::parse(request.body());
         cuts.pairs = document.at("cut").get<std::set<std::string>>();
         return jsonResponse(http::status::ok, "{}");
--- a/packages/testing/src/platform_main.cpp
+++ b/packages/testing/src/platform_main.cpp
@@ -22,7 +22,7 @@
     {
     }
 
-    Response handle(const Request &request, Yield yield)
+    Response handle(const Request &request, const Yield &yield)
     {
         const Target target = parseTarget(std::string(request.target()));
         if (target.path == "/control") {
@@ -56,7 +56,7 @@
                             nlohmann::json({{"mode", m_mode}, {"calls", m_calls}, {"writes", m_writes}}).dump());
     }
 
-    Response watch(const Target &target, Yield yield)
+    Response watch(const Target &target, const Yield &yield)
     {
         const auto since = std::stoull(target.parameters.at("since"));
         const Millis end = m_clock.now() + Millis(std::stod(target.parameters.at("timeoutMs")));
@@ -134,7 +134,7 @@
     Platform platform(context);
     HttpServer server(
         context, parseEndpoint(listen, "listen"),
-        [&](const Request &request, tcp::socket &, Yield yield) { return platform.handle(request, yield); });
+        [&](const Request &request, tcp::socket &, const Yield &yield) { return platform.handle(request, yield); });
     server.start();
     context.run();
 }
--- a/packages/testing/src/upstream_main.cpp
+++ b/packages/testing/src/upstream_main.cpp
@@ -53,7 +53,7 @@
     {
     }
 
-    Response handle(const Request &request, tcp::socket &socket, Yield yield)
+    Response handle(const Request &request, tcp::socket &socket, const Yield &yield)
     {
         const Target target = parseTarget(std::string(request.target()));
         if (target.path == "/-/fault") {
@@ -88,7 +88,7 @@
     }
 
 private:
-    Response run(const Request &request, const Target &target, tcp::socket &socket, Yield yield)
+    Response run(const Request &request, const Target &target, tcp::socket &socket, const Yield &yield)
     {
         const std::string mark(request["Mark"]);
         ++m_runs[mark];
@@ -122,7 +122,7 @@
         return response;
     }
 
-    [[noreturn]] static void truncate(Response &response, tcp::socket &socket, Yield yield)
+    [[noreturn]] static void truncate(Response &response, tcp::socket &socket, const Yield &yield)
     {
         response.prepare_payload();
         std::ostringstream text;
@@ -155,7 +155,7 @@
 
 void announceForever(asio::io_context &context, const Upstream &upstream, const Endpoint &daemon)
 {
-    asio::spawn(context, [&context, &upstream, daemon](Yield yield) {
+    asio::spawn(context, [&context, &upstream, daemon](const Yield &yield) {
         while (true) {
             try {
                 beast::tcp_stream stream(context);
@@ -193,7 +193,7 @@
     asio::io_context context(1);
     Upstream upstream(context, options);
     HttpServer server(context, parseEndpoint(options.listen, "listen"),
-                      [&](const Request &request, tcp::socket &socket, Yield yield) {
+                      [&](const Request &request, tcp::socket &socket, const Yield &yield) {
                           return upstream.handle(request, socket, yield);
                       });
     server.start();
--- a/packages/wire/include/wire/frame.h
+++ b/packages/wire/include/wire/frame.h
@@ -1,6 +1,7 @@
 /// Framing between the processes of a fleet: an eight-byte header, then one FlatBuffers message.
 #pragma once
 
+#include "foundation/bytes.h"
 #include "wire/generated/frames_generated.h"
 
 #include <array>
@@ -12,7 +13,7 @@
 namespace mustardpond {
 
 constexpr std::size_t FRAME_HEADER_BYTES = 8;
-constexpr std::uint32_t MAX_FRAME_BYTES = 4 * 1024 * 1024;
+constexpr std::uint32_t MAX_FRAME_BYTES = 4 * MIB;
 constexpr std::uint16_t FRAME_VERSION = 1;
 
 using FrameHeader = std::array<char, FRAME_HEADER_BYTES>;
--- /dev/null
+++ b/tests/process/grayfault_test.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# One upstream at a time is slow, fails, hangs or cuts its answers short: callers still get whole answers of their own.
+TEST=grayfault BASE=16
+. "$(dirname "$0")/fixture.sh"
+startFleet sicil
+for fault in '{"extraMs": 600}' '{"errorShare": 1}' '{"hang": true}' '{"truncate": true}'; do
+    setFault "$NEAR.2:9001" "$fault"
+    callers gray --work "$LOOKUP" --rate 150 --connections 15 --seconds 3 --seed 14 --tries 3
+    expectAllWhole gray
+    setFault "$NEAR.2:9001" '{}'
+    sleep 1
+done
+echo "passed $TEST"
--- /dev/null
+++ b/tests/process/operations_test.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Irreversible operations while gates are killed, frozen and restarted: the upstreams' own records show at most one
+# run each, also of those whose caller was told "not run".
+TEST=operations BASE=13
+. "$(dirname "$0")/fixture.sh"
+startFleet muhur
+
+disturb() {
+    local round
+    for round in 1 2; do
+        sleep 1
+        kill -STOP "${DAEMON_PIDS[$NEAR.2]}"
+        sleep 1
+        kill -CONT "${DAEMON_PIDS[$NEAR.2]}"
+        sleep 0.5
+        kill -KILL "${DAEMON_PIDS[$FAR.1]}"
+        sleep 1
+        launchDaemon "$FAR" 1
+        DAEMON_PIDS["$FAR.1"]=$LAST_PID
+    done
+}
+callers faults --work "$OPERATION" --rate 100 --connections 20 --seconds 9 --seed 11 &
+driver=$!
+disturb
+wait "$driver"
+expectSafe faults
+[ "$(figure faults whole)" -gt 0 ]
+echo "passed $TEST"
--- /dev/null
+++ b/tests/process/settings_test.sh
@@ -0,0 +1,69 @@
+#!/usr/bin/env bash
+# Changes of configuration: in force on every node, never reverting, through a lost answer of the platform, a race of
+# two operators, invalid values, an outage and a restart.
+TEST=settings BASE=18
+. "$(dirname "$0")/fixture.sh"
+startFleet sicil
+
+versionAt() { # R H: version of the class that the daemon has in force
+    curl -sf "http://127.1.$1.$2:7100/config" | grep -o '"class/roadside-lookup":[0-9]*' | cut -d: -f2
+}
+everywhere() { # version
+    local host r h
+    for host in "${HOSTS[@]}"; do
+        read -r r h <<<"$host"
+        [ "$(versionAt "$r" "$h")" = "$1" ]
+    done
+}
+watchVersions() { # writes a line when a node's version goes down
+    local host r h last now
+    declare -A seen
+    while true; do
+        for host in "${HOSTS[@]}"; do
+            read -r r h <<<"$host"
+            now=$(versionAt "$r" "$h" || true)
+            last=${seen["$r.$h"]:-0}
+            if [ -n "$now" ] && [ "$now" -lt "$last" ]; then
+                echo "$r.$h went from $last to $now" >>"$OUT/reverted"
+            fi
+            [ -n "$now" ] && seen["$r.$h"]=$now
+        done
+        sleep 0.05
+    done
+}
+storedVersion() { ctl --json get class roadside-lookup | grep -o '"version":[0-9]*' | cut -d: -f2; }
+fail() {
+    echo "FAILED $TEST: $*"
+    exit 1
+}
+
+watchVersions &
+PIDS+=($!)
+ctl set class roadside-lookup latencyTargetMs=160
+waitFor 6 everywhere "$(storedVersion)"
+
+setPlatform lose-answers
+ctl set class roadside-lookup latencyTargetMs=170 || fail "a write that took effect was reported as failed"
+setPlatform up
+ctl get class roadside-lookup | grep -q '"latencyTargetMs":170' || fail "the write did not take effect"
+waitFor 6 everywhere "$(storedVersion)"
+
+code=0
+ctl set class roadside-lookup latencyTargetMs=-5 2>"$OUT/invalid" || code=$?
+[ "$code" = 2 ] || fail "an invalid value gave exit code $code"
+grep -q "latencyTargetMs.*-5.*write a number from" "$OUT/invalid" || fail "the error names no field, value and remedy"
+
+ctl set class roadside-lookup latencyTargetMs=180 &
+first=$!
+ctl set class roadside-lookup latencyTargetMs=190 2>"$OUT/second" || [ $? = 3 ] || fail "a lost race is not a conflict"
+wait "$first" || [ $? = 3 ] || fail "a lost race is not a conflict"
+waitFor 6 everywhere "$(storedVersion)"
+
+ctl set class roadside-lookup latencyTargetMs=200
+version=$(storedVersion)
+setPlatform down
+kill -KILL "${DAEMON_PIDS[$NEAR.1]}"
+launchDaemon "$NEAR" 1
+waitFor 10 everywhere "$version"
+[ ! -e "$OUT/reverted" ] || fail "$(cat "$OUT/reverted")"
+echo "passed $TEST"
