Judge upstreams at their gates, with every request as evidence

Change: the gate runs the sequential test on all requests of its upstream; routers tell it with each request what is normal at the peers; a suspect upstream's requests are handed back within a round trip. A shared cause is told by recent outcomes of the peers, held while the evidence is younger.

--- /dev/null
+++ b/packages/decision/bench/detection_main.cpp
@@ -0,0 +1,147 @@
+/// Detection time and false ejections per fault, for several policies in one run. Prints a table and writes JSON.
+
+#include "baselinedetectors.h"
+#include "servicetrace.h"
+
+#include "decision/sequentialdetector.h"
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <set>
+
+using namespace mustardpond;
+using namespace mustardpond::bench;
+
+namespace {
+
+constexpr double DIRECTORATE_COST = 10;
+constexpr double BUNDESSTELLE_COST = 0.2;
+
+struct Arm {
+    std::string name;
+    DetectorFactory factory;
+    std::optional<DetectionProfile> gateProfile;
+};
+
+template<typename Rule>
+DetectorFactory ruleFactory()
+{
+    return [](const auto &) { return std::make_unique<Rule>(); };
+}
+
+DetectorFactory sequentialFactory(double cost)
+{
+    return [cost](const auto &) { return std::make_unique<SequentialDetector>(profileForCost(cost)); };
+}
+
+std::vector<Arm> allArms()
+{
+    return {
+        {"probes", [](const auto &oracle) { return std::make_unique<ProbeDetector>(oracle); }, std::nullopt},
+        {"consecutive", ruleFactory<ConsecutiveErrorsDetector>(), std::nullopt},
+        {"quartiles", ruleFactory<QuartileDetector>(), std::nullopt},
+        {"routers-only", sequentialFactory(DIRECTORATE_COST), std::nullopt},
+        {"directorate", sequentialFactory(DIRECTORATE_COST), profileForCost(DIRECTORATE_COST)},
+        {"bundesstelle", sequentialFactory(BUNDESSTELLE_COST), profileForCost(BUNDESSTELLE_COST)},
+    };
+}
+
+struct Figures {
+    std::string arm;
+    FaultKind fault = FaultKind::Quiet;
+    std::vector<double> detection;
+    double falseEjections = 0;
+    double healthyHours = 0;
+    double leastCapacity = 1;
+    std::uint64_t requests = 0;
+    std::uint64_t good = 0;
+    std::uint64_t retries = 0;
+};
+
+Figures measure(const Arm &arm, FaultKind fault, std::uint64_t seeds, double rate)
+{
+    Figures figures;
+    figures.arm = arm.name;
+    figures.fault = fault;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        TracePlan plan;
+        plan.fault = fault;
+        plan.seed = seed;
+        plan.requestsPerSecond = rate;
+        plan.gateProfile = arm.gateProfile;
+        const TraceResult result = runTrace(plan, arm.factory);
+        figures.detection.insert(figures.detection.end(), result.detectionMs.begin(), result.detectionMs.end());
+        figures.falseEjections += result.falseEjections;
+        figures.healthyHours += result.healthyHours;
+        figures.leastCapacity = std::min(figures.leastCapacity, result.leastCapacity);
+        figures.requests += result.requests;
+        figures.good += result.good;
+        figures.retries += result.retries;
+    }
+    std::sort(figures.detection.begin(), figures.detection.end());
+    return figures;
+}
+
+double quantile(const std::vector<double> &sorted, double share)
+{
+    return sorted.empty() ? 0 : sorted[static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1))];
+}
+
+nlohmann::json toJson(const Figures &figures)
+{
+    return {{"arm", figures.arm},
+            {"fault", nameOf(FAULT_KIND_NAMES, figures.fault)},
+            {"detectionP50Ms", quantile(figures.detection, 0.5)},
+            {"detectionP99Ms", quantile(figures.detection, 0.99)},
+            {"falseEjectionsPerHour", figures.falseEjections / figures.healthyHours},
+            {"leastCapacity", figures.leastCapacity},
+            {"goodShare", static_cast<double>(figures.good) / static_cast<double>(figures.requests)},
+            {"retryShare", static_cast<double>(figures.retries) / static_cast<double>(figures.requests)}};
+}
+
+void printRow(const nlohmann::json &row)
+{
+    std::cout << fmt::format("{:<14} {:<13} {:>9.0f} {:>9.0f} {:>10.2f} {:>9.2f} {:>8.4f} {:>8.4f}\n",
+                             row["fault"].get<std::string>(), row["arm"].get<std::string>(),
+                             row["detectionP50Ms"].get<double>(), row["detectionP99Ms"].get<double>(),
+                             row["falseEjectionsPerHour"].get<double>(), row["leastCapacity"].get<double>(),
+                             row["goodShare"].get<double>(), row["retryShare"].get<double>());
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CLI::App app("detection time and false ejections per fault and policy");
+    std::uint64_t seeds = 20;
+    double rate = 600;
+    std::string output;
+    app.add_option("--seeds", seeds);
+    app.add_option("--rate", rate, "requests a second of the service");
+    app.add_option("--json", output, "file for the figures");
+    CLI11_PARSE(app, argc, argv);
+    const std::vector<Arm> arms = allArms();
+    std::vector<std::future<Figures>> pending;
+    for (const auto &fault : FAULT_KIND_NAMES) {
+        for (const Arm &arm : arms) {
+            pending.push_back(std::async(std::launch::async, measure, arm, fault.value, seeds, rate));
+        }
+    }
+    std::cout << fmt::format("{:<14} {:<13} {:>9} {:>9} {:>10} {:>9} {:>8} {:>8}\n", "fault", "arm", "p50 ms", "p99 ms",
+                             "false/h", "capacity", "good", "retries");
+    nlohmann::json rows = nlohmann::json::array();
+    for (auto &figures : pending) {
+        rows.push_back(toJson(figures.get()));
+        printRow(rows.back());
+    }
+    if (!output.empty()) {
+        std::ofstream(output) << nlohmann::json({{"seeds", seeds}, {"rate", rate}, {"rows", rows}}).dump(1) << "\n";
+    }
+    return 0;
+}
--- /dev/null
+++ b/packages/decision/bench/servicetrace.h
@@ -0,0 +1,74 @@
+/// One service under a fault, on a virtual clock: callers, routers with a detector each, and upstreams with slots.
+#pragma once
+
+#include "decision/detector.h"
+#include "decision/sequentialdetector.h"
+#include "foundation/enumtable.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace mustardpond::bench {
+
+enum class FaultKind : std::uint8_t {
+    Quiet,
+    Bursts,
+    SharedSlow,
+    Slow,
+    SlightlySlow,
+    Errors,
+    FastErrors,
+    ClassErrors,
+    Hang,
+    Flapping,
+    TwoAtOnce,
+};
+
+constexpr EnumTable<FaultKind, 11> FAULT_KIND_NAMES = {{
+    {FaultKind::Quiet, "quiet"},
+    {FaultKind::Bursts, "bursts"},
+    {FaultKind::SharedSlow, "shared-slow"},
+    {FaultKind::Slow, "slow"},
+    {FaultKind::SlightlySlow, "slightly-slow"},
+    {FaultKind::Errors, "errors"},
+    {FaultKind::FastErrors, "fast-errors"},
+    {FaultKind::ClassErrors, "class-errors"},
+    {FaultKind::Hang, "hang"},
+    {FaultKind::Flapping, "flapping"},
+    {FaultKind::TwoAtOnce, "two-at-once"},
+}};
+
+struct TracePlan {
+    FaultKind fault = FaultKind::Quiet;
+    std::uint64_t seed = 1;
+    std::size_t upstreams = 12;
+    std::size_t routers = 6;
+    std::size_t slots = 5;
+    double requestsPerSecond = 600;
+    Millis serviceTime{10};
+    Millis latencyTarget{150};
+    Millis deadline{3000};
+    Millis faultStart{6000};
+    Millis faultEnd{16000};
+    Millis end{20000};
+    std::optional<DetectionProfile> gateProfile; ///< of the gates' own judgement; none without gates that judge
+};
+
+/// Makes a router's detector. The oracle tells whether an upstream answers probes.
+using DetectorFactory
+    = std::function<std::unique_ptr<Detector>(const std::function<bool(const std::string &, Millis)> &)>;
+
+struct TraceResult {
+    std::vector<double> detectionMs; ///< per faulty upstream: fault's start to the last request sent before recovery
+    double falseEjections = 0; ///< of healthy upstreams, each router counting for its share of the routers
+    double healthyHours = 0; ///< upstream-hours in which an ejection would have been false
+    double leastCapacity = 1; ///< least share of slots that any router left in use
+    std::uint64_t requests = 0;
+    std::uint64_t good = 0; ///< answered without error within the target
+    std::uint64_t retries = 0;
+};
+
+TraceResult runTrace(const TracePlan &plan, const DetectorFactory &makeDetector);
+
+} // namespace mustardpond::bench
--- a/packages/decision/include/decision/classbaseline.h
+++ b/packages/decision/include/decision/classbaseline.h
@@ -13,23 +13,32 @@
 {
 public:
     void addServiceTime(Millis serviceTime);
-    void addOutcome(const std::string &upstream, bool bad);
+    void addOutcome(const std::string &upstream, bool bad, Millis now);
     void removeUpstream(const std::string &upstream);
 
     /// Above this a service time counts as bad: well over the median, at most the target.
     Millis badAbove(Millis latencyTarget) const;
     /// Share of bad outcomes among the other upstreams.
-    double peerBadShare(const std::string &upstream) const;
-    /// Recent share of bad outcomes of one upstream.
-    double badShare(const std::string &upstream) const;
+    double peerBadShare(const std::string &upstream, Millis now) const;
 
 private:
+    /// Outcomes that weigh less the older they are.
     struct Counts {
         double bad = 0;
         double all = 0;
+        Millis at;
     };
-    std::unordered_map<std::string, Counts> m_counts;
-    Counts m_total;
+    /// Over a long time, by the number of outcomes.
+    struct LongMemory {
+        std::unordered_map<std::string, Counts> counts;
+        Counts total;
+    };
+
+    double longPeerShare(const std::string &upstream) const;
+    double recentPeerShare(const std::string &upstream, Millis now) const;
+
+    LongMemory m_long;
+    std::unordered_map<std::string, Counts> m_recent; ///< over a short time, which shows a sudden shared cause
     double m_median = 0;
     double m_samples = 0;
 };
--- a/packages/decision/include/decision/cusum.h
+++ b/packages/decision/include/decision/cusum.h
@@ -4,23 +4,22 @@
 namespace mustardpond {
 
 /// One-sided CUSUM over good and bad outcomes. The score is a log-likelihood ratio: how much better
-/// the outcomes fit a failing upstream than one that fails as often as its peers.
+/// the outcomes fit a failing upstream than one that fails as often as its peers. The outcomes since the score was
+/// last zero are kept as counts, so that late news of the peers changes the weight of all of them; news that the peers
+/// are well again counts slowly, since older outcomes may stem from a shared cause.
 class Cusum
 {
 public:
     /// @param peerBadShare share of bad outcomes among the other upstreams, in [0, 1]
     void add(bool bad, double peerBadShare);
-    double score() const
-    {
-        return m_score;
-    }
-    void reset(double score)
-    {
-        m_score = score;
-    }
+    double score(double peerBadShare) const;
+    bool hasBad() const { return m_bad > 0; }
+    void clear();
 
 private:
-    double m_score = 0;
+    double m_bad = 0;
+    double m_good = 0;
+    double m_heldPeerShare = 0;
 };
 
 } // namespace mustardpond
--- a/packages/decision/include/decision/detector.h
+++ b/packages/decision/include/decision/detector.h
@@ -46,6 +46,12 @@
     Millis latencyTarget;
 };
 
+/// What a router finds normal for a class of work at the peers of one upstream.
+struct Normality {
+    Millis badAbove; ///< a longer service time counts as bad
+    double peerBadShare = 0; ///< share of bad outcomes among the peers
+};
+
 /// Judges the upstreams of one service from the attempts of one router. Not thread-safe.
 class Detector
 {
@@ -61,6 +67,16 @@
     virtual void onStart(const AttemptStart &start, Millis now) = 0;
     /// @param serviceTime time the upstream itself took, without queueing and network
     virtual void onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now) = 0;
+    /// Takes over the word of an upstream's gate, which sees the requests of all routers.
+    virtual void onGateSuspects(const std::string & /*upstream*/, const std::string & /*workClass*/, Millis /*now*/) {}
+    /// What to tell the gate of an upstream with a request.
+    virtual Normality normality(const std::string & /*upstream*/, const std::string & /*workClass*/,
+                                Millis latencyTarget, Millis /*now*/) const
+    {
+        return {latencyTarget, 0};
+    }
+    /// Whether the upstream has to serve although its gate suspects it, since the floor leaves no other.
+    virtual bool mustServe(const std::string & /*upstream*/, const std::string & /*workClass*/) const { return false; }
     /// Looks at running attempts and expiring holds. To be called every few tens of milliseconds.
     virtual std::vector<HealthChange> tick(Millis now) = 0;
 
--- a/packages/decision/include/decision/sequentialdetector.h
+++ b/packages/decision/include/decision/sequentialdetector.h
@@ -13,8 +13,8 @@
 /// How a deployment weighs a late detection against a false ejection.
 struct DetectionProfile {
     double ejectScore = 6.5; ///< evidence needed; higher is slower with fewer false ejections
-    Millis firstHold{2000};
-    Millis longestHold{60000};
+    Millis firstHold{20000};
+    Millis longestHold{300000};
     Millis slowStart{4000}; ///< from return to full weight
 };
 
@@ -35,14 +35,21 @@
     }
     void onStart(const AttemptStart &start, Millis now) override;
     void onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now) override;
+    void onGateSuspects(const std::string &upstream, const std::string &workClass, Millis now) override;
+    Normality normality(const std::string &upstream, const std::string &workClass, Millis latencyTarget,
+                        Millis now) const override;
+    bool mustServe(const std::string &upstream, const std::string &workClass) const override;
     std::vector<HealthChange> tick(Millis now) override;
     double weight(const std::string &upstream, const std::string &workClass, Millis now) const override;
 
 private:
     struct Track {
         Cusum test;
+        bool suspectedByGate = false;
         bool ejected = false;
         bool heldByFloor = false;
+        bool returning = false; ///< half the evidence is enough after a hold
+        Millis ejectedAt{-1e12};
         Millis ejectedUntil;
         Millis returnedAt{-1e12};
         int recentEjections = 0;
@@ -54,9 +61,21 @@
     struct Running {
         AttemptStart start;
         Millis startedAt;
-        bool judged = false;
+        bool judged = false; ///< for the test of its upstream
+        bool noted = false; ///< for what is normal
+    };
+    struct Suspect {
+        double score;
+        std::string name;
+        std::string workClass;
+        Track *track;
     };
 
+    void note(const std::string &upstream, const std::string &workClass, bool bad, Millis now);
+    std::vector<Suspect> findSuspects(Millis now);
+    bool hasSharedCause(const std::string &workClass, const std::vector<Suspect> &suspects, Millis now) const;
+    void releaseShared(const std::string &workClass, Millis now);
+    double scoreOf(const std::string &upstream, const std::string &workClass, const Track &track, Millis now) const;
     void judge(const std::string &upstream, const std::string &workClass, bool bad, Millis now);
     void judgeRunning(Millis now);
     void endHolds(Millis now);
@@ -71,6 +90,7 @@
     std::map<std::string, Upstream> m_upstreams;
     std::map<std::string, ClassBaseline> m_baselines;
     std::unordered_map<std::uint64_t, Running> m_running;
+    std::map<std::string, Millis> m_sharedUntil; ///< by class: while its upstreams all look bad, none is ejected
     std::vector<HealthChange> m_changes;
 };
 
--- a/packages/decision/src/sequentialdetector.cpp
+++ b/packages/decision/src/sequentialdetector.cpp
@@ -9,15 +9,19 @@
 
 const std::string PATH; // NOLINT(cert-err58-cpp)
 constexpr double RETURN_SCORE_SHARE = 0.5; ///< of the eject score, so that a relapse is seen at once
+constexpr Millis SHARED_WINDOW{2000}; ///< in which suspicions count as one event
+constexpr Millis SHARED_PAUSE{3000}; ///< without ejections, after a shared cause was seen
+constexpr double SHARED_SHARE = 0.3; ///< of the upstreams
+constexpr double SHARED_LEAST = 3;
+constexpr double ROUTER_CAUTION = 3; ///< score beyond the gate's: a router sees fewer requests, and their queues
 constexpr double RETURN_WEIGHT = 0.05;
 constexpr double FORGET_HOLDS = 10; ///< healthy time, in holds, after which holds start small again
-constexpr Millis PATH_TIMEOUT{250};
 
 } // namespace
 
 DetectionProfile profileForCost(double lateDetectionCost)
 {
-    constexpr double BASE_SCORE = 9;
+    constexpr double BASE_SCORE = 11;
     DetectionProfile profile;
     profile.ejectScore = std::max(4.0, BASE_SCORE - std::log(std::max(lateDetectionCost, 1e-3)));
     return profile;
@@ -43,7 +47,7 @@
 
 void SequentialDetector::onStart(const AttemptStart &start, Millis now)
 {
-    m_running[start.attempt] = {start, now, false};
+    m_running[start.attempt] = {start, now, false, false};
 }
 
 void SequentialDetector::onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now)
@@ -57,17 +61,29 @@
     if (result == AttemptResult::Unjudged) {
         return;
     }
+    note(running.start.upstream, PATH, result == AttemptResult::PathFailed, now);
     judge(running.start.upstream, PATH, result == AttemptResult::PathFailed, now);
     if (result == AttemptResult::PathFailed) {
         return;
     }
     ClassBaseline &baseline = m_baselines[running.start.workClass];
     const bool slow = serviceTime > baseline.badAbove(running.start.latencyTarget);
+    const bool bad = result != AttemptResult::Answered || slow;
     if (result == AttemptResult::Answered) {
         baseline.addServiceTime(serviceTime);
     }
+    if (!running.noted) {
+        note(running.start.upstream, running.start.workClass, bad, now);
+    }
     if (!running.judged) {
-        judge(running.start.upstream, running.start.workClass, result != AttemptResult::Answered || slow, now);
+        judge(running.start.upstream, running.start.workClass, bad, now);
+    }
+}
+
+void SequentialDetector::note(const std::string &upstream, const std::string &workClass, bool bad, Millis now)
+{
+    if (m_upstreams.count(upstream) > 0) {
+        m_baselines[workClass].addOutcome(upstream, bad, now);
     }
 }
 
@@ -78,15 +94,44 @@
         return;
     }
     Track &track = found->second.tracks[workClass];
-    ClassBaseline &baseline = m_baselines[workClass];
-    track.test.add(bad, baseline.peerBadShare(upstream));
-    baseline.addOutcome(upstream, bad);
+    track.test.add(bad, m_baselines[workClass].peerBadShare(upstream, now));
     const bool longHealthy = now - track.returnedAt > m_profile.firstHold * FORGET_HOLDS;
-    if (longHealthy && !track.ejected && track.test.score() <= 0) {
+    if (longHealthy && !track.ejected && !track.test.hasBad()) {
         track.recentEjections = 0;
+        track.returning = false;
     }
 }
 
+void SequentialDetector::onGateSuspects(const std::string &upstream, const std::string &workClass, Millis /*now*/)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    found->second.tracks[workClass].suspectedByGate = true;
+}
+
+Normality SequentialDetector::normality(const std::string &upstream, const std::string &workClass,
+                                        Millis latencyTarget, Millis now) const
+{
+    const auto found = m_baselines.find(workClass);
+    if (found == m_baselines.end()) {
+        return {latencyTarget, 0};
+    }
+    return {found->second.badAbove(latencyTarget), found->second.peerBadShare(upstream, now)};
+}
+
+bool SequentialDetector::mustServe(const std::string &upstream, const std::string &workClass) const
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found == m_upstreams.end()) {
+        return false;
+    }
+    const auto track = found->second.tracks.find(workClass);
+    return m_sharedUntil.count(workClass) > 0
+        || (track != found->second.tracks.end() && track->second.heldByFloor);
+}
+
 std::vector<HealthChange> SequentialDetector::tick(Millis now)
 {
     m_changes.clear();
@@ -99,53 +144,111 @@
 void SequentialDetector::judgeRunning(Millis now)
 {
     for (auto &[attempt, running] : m_running) {
-        if (running.judged) {
-            continue;
+        const AttemptStart &start = running.start;
+        const Millis age = now - running.startedAt;
+        if (!running.noted && age > m_baselines[start.workClass].badAbove(start.latencyTarget)) {
+            running.noted = true;
+            note(start.upstream, start.workClass, true, now);
         }
-        const Millis limit = m_baselines[running.start.workClass].badAbove(running.start.latencyTarget);
-        if (now - running.startedAt > limit + PATH_TIMEOUT * 0.1) {
+        // The gate judges running requests by what is normal; a router sees their queue as well, and allows the target.
+        if (!running.judged && age > start.latencyTarget) {
             running.judged = true;
-            judge(running.start.upstream, running.start.workClass, true, now);
+            judge(start.upstream, start.workClass, true, now);
         }
     }
 }
 
 void SequentialDetector::endHolds(Millis now)
 {
+    for (auto shared = m_sharedUntil.begin(); shared != m_sharedUntil.end();) {
+        shared = now >= shared->second ? m_sharedUntil.erase(shared) : std::next(shared);
+    }
     for (auto &[name, upstream] : m_upstreams) {
         for (auto &[workClass, track] : upstream.tracks) {
             if (!track.ejected || now < track.ejectedUntil) {
                 continue;
             }
             track.ejected = false;
+            track.returning = true;
             track.returnedAt = now;
-            track.test.reset(m_profile.ejectScore * RETURN_SCORE_SHARE);
-            m_changes.push_back({HealthChangeKind::Returned, name, workClass, track.test.score(), Millis()});
+            track.test.clear();
+            m_changes.push_back({HealthChangeKind::Returned, name, workClass, 0, Millis()});
         }
     }
 }
 
-void SequentialDetector::ejectWorst(Millis now)
+double SequentialDetector::scoreOf(const std::string &upstream, const std::string &workClass, const Track &track,
+                                   Millis now) const
+{
+    const auto baseline = m_baselines.find(workClass);
+    const double peers = baseline == m_baselines.end() ? 0 : baseline->second.peerBadShare(upstream, now);
+    const double own = track.test.score(peers) * (track.returning ? 1 / RETURN_SCORE_SHARE : 1);
+    const double needed = m_profile.ejectScore + ROUTER_CAUTION;
+    return track.suspectedByGate ? std::max(own, needed) : own;
+}
+
+std::vector<SequentialDetector::Suspect> SequentialDetector::findSuspects(Millis now)
 {
-    struct Suspect {
-        double score;
-        std::string name;
-        std::string workClass;
-        Track *track;
-    };
     std::vector<Suspect> suspects;
     for (auto &[name, upstream] : m_upstreams) {
         for (auto &[workClass, track] : upstream.tracks) {
-            if (track.ejected || track.test.score() < m_profile.ejectScore) {
-                track.heldByFloor = track.heldByFloor && !track.ejected && track.test.score() > 0;
-                continue;
+            const double score = scoreOf(name, workClass, track, now);
+            if (!track.ejected && score >= m_profile.ejectScore + ROUTER_CAUTION) {
+                suspects.push_back({score, name, workClass, &track});
+            } else {
+                track.heldByFloor = track.heldByFloor && !track.ejected && score > 0;
             }
-            suspects.push_back({track.test.score(), name, workClass, &track});
         }
     }
     std::sort(suspects.begin(), suspects.end(), [](const Suspect &a, const Suspect &b) { return a.score > b.score; });
+    return suspects;
+}
+
+void SequentialDetector::ejectWorst(Millis now)
+{
+    const std::vector<Suspect> suspects = findSuspects(now);
     for (const Suspect &suspect : suspects) {
-        eject(suspect.name, suspect.workClass, *suspect.track, now);
+        if (hasSharedCause(suspect.workClass, suspects, now)) {
+            releaseShared(suspect.workClass, now);
+        } else if (m_sharedUntil.count(suspect.workClass) == 0) {
+            eject(suspect.name, suspect.workClass, *suspect.track, now);
+        }
+        suspect.track->suspectedByGate = false;
+    }
+}
+
+bool SequentialDetector::hasSharedCause(const std::string &workClass, const std::vector<Suspect> &suspects,
+                                        Millis now) const
+{
+    double count = 0;
+    for (const Suspect &suspect : suspects) {
+        count += suspect.workClass == workClass && !suspect.track->ejected ? 1 : 0;
+    }
+    for (const auto &[name, upstream] : m_upstreams) {
+        const auto track = upstream.tracks.find(workClass);
+        const bool recent = track != upstream.tracks.end() && track->second.ejected
+            && now - track->second.ejectedAt < SHARED_WINDOW;
+        count += recent ? 1 : 0;
+    }
+    return count >= std::max(SHARED_LEAST, SHARED_SHARE * static_cast<double>(m_upstreams.size()));
+}
+
+void SequentialDetector::releaseShared(const std::string &workClass, Millis now)
+{
+    m_sharedUntil[workClass] = now + SHARED_PAUSE;
+    m_changes.push_back({HealthChangeKind::SharedCause, "", workClass, 0, SHARED_PAUSE});
+    for (auto &[name, upstream] : m_upstreams) {
+        const auto found = upstream.tracks.find(workClass);
+        if (found == upstream.tracks.end()) {
+            continue;
+        }
+        Track &track = found->second;
+        if (track.ejected && now - track.ejectedAt < SHARED_WINDOW) {
+            track.ejected = false;
+            m_changes.push_back({HealthChangeKind::Returned, name, workClass, 0, Millis()});
+        }
+        track.test.clear();
+        track.suspectedByGate = false;
     }
 }
 
@@ -153,18 +256,20 @@
 {
     if (!floorAllows(name, workClass)) {
         if (!track.heldByFloor) {
-            m_changes.push_back({HealthChangeKind::HeldByFloor, name, workClass, track.test.score(), Millis()});
+            m_changes.push_back(
+                {HealthChangeKind::HeldByFloor, name, workClass, scoreOf(name, workClass, track, now), Millis()});
         }
         track.heldByFloor = true;
         return false;
     }
     const double growth = std::pow(2.0, std::min(track.recentEjections, 10));
     const Millis hold(std::min(m_profile.firstHold.value * growth, m_profile.longestHold.value));
+    m_changes.push_back({HealthChangeKind::Ejected, name, workClass, scoreOf(name, workClass, track, now), hold});
     track.ejected = true;
+    track.ejectedAt = now;
     track.heldByFloor = false;
     track.ejectedUntil = now + hold;
     ++track.recentEjections;
-    m_changes.push_back({HealthChangeKind::Ejected, name, workClass, track.test.score(), hold});
     return true;
 }
 
@@ -212,8 +317,7 @@
     }
     const double ramp = (now - track.returnedAt) / m_profile.slowStart;
     const double returning = std::clamp(ramp, RETURN_WEIGHT, 1.0);
-    const double doubt = 1 - 0.8 * std::min(1.0, track.test.score() / m_profile.ejectScore);
-    return std::max(RETURN_WEIGHT, std::min(returning, doubt));
+    return returning;
 }
 
 } // namespace mustardpond
--- /dev/null
+++ b/packages/decision/src/upstreamjudge.cpp
@@ -0,0 +1,113 @@
+#include "decision/upstreamjudge.h"
+
+#include <algorithm>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr double NORMALITY_MEMORY = 0.2; ///< weight of the newest word of a router
+constexpr Millis CONFIRMATION{100}; ///< for news of the peers since the first bad outcome
+constexpr int WHOLE_BAD_IN_ROW = 5; ///< without a good outcome of any class
+constexpr double SHARED_BAD_SHARE = 0.2; ///< of the peers; above it the cause is taken to be shared
+
+Normality blend(const Normality &known, const Normality &news)
+{
+    const Millis badAbove = known.badAbove + (news.badAbove - known.badAbove) * NORMALITY_MEMORY;
+    // Doubt about the peers counts at once and fades slowly: a shared cause must not look like one failing upstream.
+    const double faded = known.peerBadShare + (news.peerBadShare - known.peerBadShare) * NORMALITY_MEMORY;
+    return {badAbove, std::max(news.peerBadShare, faded)};
+}
+
+} // namespace
+
+void UpstreamJudge::onArrival(const std::string &workClass, const Normality &normality, Millis now)
+{
+    const bool known = m_tracks.count(workClass) > 0;
+    Track &track = m_tracks[workClass];
+    track.normality = known ? blend(track.normality, normality) : normality;
+    track.heardAt = now;
+    m_heardAt = now;
+}
+
+void UpstreamJudge::onStart(std::uint64_t attempt, const std::string &workClass, Millis now)
+{
+    m_running[attempt] = {workClass, now, false};
+}
+
+void UpstreamJudge::onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now)
+{
+    const auto found = m_running.find(attempt);
+    if (found == m_running.end()) {
+        return;
+    }
+    const Running running = found->second;
+    m_running.erase(found);
+    if (running.judged || result == AttemptResult::Unjudged || result == AttemptResult::PathFailed) {
+        return;
+    }
+    Track &track = m_tracks[running.workClass];
+    const bool bad = result != AttemptResult::Answered || serviceTime > track.normality.badAbove;
+    judge(track, bad, now);
+}
+
+void UpstreamJudge::tick(Millis now)
+{
+    for (auto &[attempt, running] : m_running) {
+        Track &track = m_tracks[running.workClass];
+        if (!running.judged && now - running.startedAt > track.normality.badAbove) {
+            running.judged = true;
+            judge(track, true, now);
+        }
+    }
+    for (auto &[workClass, track] : m_tracks) {
+        decide(track, now);
+    }
+    decideWhole(now);
+}
+
+void UpstreamJudge::judge(Track &track, bool bad, Millis now)
+{
+    track.firstBadAt = bad && !track.test.hasBad() ? now : track.firstBadAt;
+    track.test.add(bad, track.normality.peerBadShare);
+    m_badInRow = bad ? m_badInRow + 1 : 0;
+    m_badInRowSince = m_badInRow == 1 ? now : m_badInRowSince;
+    decide(track, now);
+}
+
+void UpstreamJudge::decide(Track &track, Millis now)
+{
+    const double needed = track.returning ? m_profile.ejectScore / 2 : m_profile.ejectScore;
+    const bool confirmed = track.heardAt >= track.firstBadAt + CONFIRMATION;
+    if (now < track.suspectUntil || !confirmed || track.test.score(track.normality.peerBadShare) < needed) {
+        return;
+    }
+    track.suspectUntil = now + m_profile.firstHold;
+    track.test.clear();
+    track.returning = true;
+}
+
+void UpstreamJudge::decideWhole(Millis now)
+{
+    const bool peersAreWell = std::all_of(m_tracks.begin(), m_tracks.end(), [](const auto &entry) {
+        return entry.second.normality.peerBadShare < SHARED_BAD_SHARE;
+    });
+    const bool confirmed = m_heardAt >= m_badInRowSince + CONFIRMATION;
+    if (peersAreWell && confirmed && m_badInRow >= WHOLE_BAD_IN_ROW && now >= m_allSuspectUntil) {
+        m_allSuspectUntil = now + m_profile.firstHold;
+    }
+}
+
+double UpstreamJudge::score(const std::string &workClass) const
+{
+    const auto found = m_tracks.find(workClass);
+    return found == m_tracks.end() ? 0 : found->second.test.score(found->second.normality.peerBadShare);
+}
+
+bool UpstreamJudge::isSuspect(const std::string &workClass, Millis now) const
+{
+    const auto found = m_tracks.find(workClass);
+    return now < m_allSuspectUntil || (found != m_tracks.end() && now < found->second.suspectUntil);
+}
+
+} // namespace mustardpond
