--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -97,9 +97,13 @@
     void refute(const Member &update);
     void expire(Millis now);
     void probe(Millis now, std::vector<OutgoingGossip> &out);
+    std::string nextToProbe();
+    std::vector<std::string> helpersFor(const Member &target);
     void followProbe(Millis now, std::vector<OutgoingGossip> &out);
     void spread(Millis now, std::vector<OutgoingGossip> &out);
     void compare(Millis now, std::vector<OutgoingGossip> &out);
+    std::string peerAddress();
+    std::string lostAddress();
     void askSeeds(std::vector<OutgoingGossip> &out);
     void answerPing(const wire::GossipT &message, std::vector<OutgoingGossip> &out);
     void answerPull(const wire::PullRequestT &pull, const std::string &address, std::vector<OutgoingGossip> &out);
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -16,7 +16,7 @@
 constexpr std::size_t SEEDS_ASKED = 3;
 constexpr double SENDINGS_FACTOR = 3;
 constexpr std::size_t OBJECTS_PER_MESSAGE = 500;
-constexpr std::size_t REMOTE_EVERY = 4; ///< one rumour message in so many goes to another data centre
+constexpr std::size_t REMOTE_EVERY = 4; ///< one probe or rumour message in so many goes to another data centre
 
 std::string keyOf(const Incarnation &incarnation)
 {
@@ -179,15 +179,7 @@
     if (m_probe) {
         return;
     }
-    if (m_probeOrder.empty()) {
-        auto pool = peers(true);
-        m_probeOrder = randomPeers(pool.empty() ? peers(false) : pool, m_known.size());
-    }
-    if (m_probeOrder.empty()) {
-        return;
-    }
-    const std::string key = m_probeOrder.back();
-    m_probeOrder.pop_back();
+    const std::string key = nextToProbe();
     const auto target = m_known.find(key);
     if (target == m_known.end()) {
         return;
@@ -202,6 +194,38 @@
     out.push_back({target->second.member.inner, std::move(message)});
 }
 
+std::string Membership::nextToProbe()
+{
+    if (m_probeOrder.empty()) {
+        const auto pool = peers(true);
+        m_probeOrder = randomPeers(pool, pool.size());
+    }
+    // A whole data centre can be lost; only members of others can notice that.
+    if (m_probeOrder.empty() || m_random.below(REMOTE_EVERY) == 0) {
+        const auto remote = randomPeers(peers(false), 1);
+        if (!remote.empty()) {
+            return remote.front();
+        }
+    }
+    if (m_probeOrder.empty()) {
+        return {};
+    }
+    const std::string key = m_probeOrder.back();
+    m_probeOrder.pop_back();
+    return key;
+}
+
+std::vector<std::string> Membership::helpersFor(const Member &target)
+{
+    auto pool = peers(true);
+    if (target.dataCentre != m_self.dataCentre) {
+        // The link between two regions may be cut while a third reaches both.
+        const auto remote = peers(false);
+        pool.insert(pool.end(), remote.begin(), remote.end());
+    }
+    return randomPeers(pool, INDIRECT_PROBES);
+}
+
 void Membership::followProbe(Millis now, std::vector<OutgoingGossip> &out)
 {
     if (!m_probe) {
@@ -214,7 +238,7 @@
     }
     if (!m_probe->indirect && now - m_probe->sentAt >= m_times.probeTimeout) {
         m_probe->indirect = true;
-        for (const std::string &key : randomPeers(peers(true), INDIRECT_PROBES)) {
+        for (const std::string &key : helpersFor(target->second.member)) {
             if (key == m_probe->key) {
                 continue;
             }
@@ -305,18 +329,39 @@
 }
 
 void Membership::compare(Millis /*now*/, std::vector<OutgoingGossip> &out)
+{
+    const std::string address = m_random.below(REMOTE_EVERY) == 0 ? lostAddress() : peerAddress();
+    if (address.empty()) {
+        return;
+    }
+    wire::GossipT message = newMessage();
+    message.membersDigest = membersDigest();
+    message.objectsDigest = m_objects.digest() + 1;
+    out.push_back({address, std::move(message)});
+}
+
+std::string Membership::peerAddress()
 {
     const bool local = m_random.below(REMOTE_EVERY) != 0;
     auto pool = peers(local);
     if (pool.empty()) {
         pool = peers(!local);
     }
-    for (const std::string &key : randomPeers(pool, 1)) {
-        wire::GossipT message = newMessage();
-        message.membersDigest = membersDigest();
-        message.objectsDigest = m_objects.digest() + 1;
-        out.push_back({m_known[key].member.inner, std::move(message)});
+    const auto chosen = randomPeers(pool, 1);
+    return chosen.empty() ? std::string() : m_known[chosen.front()].member.inner;
+}
+
+std::string Membership::lostAddress()
+{
+    // After a cut, each side holds the other for dead; somebody has to try again.
+    std::vector<std::string> addresses = m_seeds;
+    for (const auto &[key, known] : m_known) {
+        if (known.member.state == MemberState::Dead) {
+            addresses.push_back(known.member.inner);
+        }
     }
+    addresses.erase(std::remove(addresses.begin(), addresses.end(), m_self.inner), addresses.end());
+    return addresses.empty() ? std::string() : addresses[m_random.below(addresses.size())];
 }
 
 void Membership::compareDigests(const wire::GossipT &message, std::vector<OutgoingGossip> &out)
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -67,18 +67,18 @@
 OUT=$OUT/path
 rm -rf "$OUT"
 mkdir -p "$OUT"
-PLATFORM=127.1.97.100:7400
+PLATFORM=127.1.35.100:7400
 startPlatform "$PLATFORM"
 "$BUILD/packages/ctl/mustardctl" --platform "$PLATFORM" apply examples/directorate/objects.json >/dev/null
-startLinks 127.1.97.100:7500 97.1 97.2
+startLinks 127.1.35.100:7500 35.1 35.2
 for h in 1 2; do
-    writeSettings "$OUT/node-97.$h.json" 97 "$h" "$PLATFORM" 10 97.1 97.2
-    sed -i "s/, \"advertisedInner\": \"[^\"]*\"//; s/\"seeds\": \[[^]]*\]/\"seeds\": [\"127.1.97.1:7000\"]/" "$OUT/node-97.$h.json"
-    startDaemon 97 "$h"
+    writeSettings "$OUT/node-35.$h.json" 35 "$h" "$PLATFORM" 10 35.1 35.2
+    sed -i "s/, \"advertisedInner\": \"[^\"]*\"//; s/\"seeds\": \[[^]]*\]/\"seeds\": [\"127.1.35.1:7000\"]/" "$OUT/node-35.$h.json"
+    startDaemon 35 "$h"
     PID[h]=$LAST_PID
 done
-startUpstream sicil 97 2 9001 200
-waitFor 20 knowsUpstreams 97 1 sicil 1
+startUpstream sicil 35 2 9001 200
+waitFor 20 knowsUpstreams 35 1 sicil 1
 sleep 2
 drive() { # name address rate
     "$BUILD/packages/testing/stand-in-callers" --router "$2" --work '{"kind":"lookup","path":"/sicil/records","bytes":1000}' \
@@ -93,9 +93,9 @@
 idleShare=$(awk -v t="$(($(ticks "${PID[1]}") - start))" 'BEGIN { print t / 100 / 3 }')
 echo "idle daemon: $idle KB resident, $idleShare of a core"
 for rate in $RATES; do
-    drive direct 127.1.97.2:9001 "$rate"
+    drive direct 127.1.35.2:9001 "$rate"
     before=$(($(ticks "${PID[1]}") + $(ticks "${PID[2]}")))
-    drive via 127.1.97.1:8080 "$rate"
+    drive via 127.1.35.1:8080 "$rate"
     after=$(($(ticks "${PID[1]}") + $(ticks "${PID[2]}")))
     cpu=$(awk -v t="$((after - before))" -v n="$(value via requests)" 'BEGIN { printf "%.3f", t * 10 / n }')
     added50=$(awk -v a="$(value via p50Ms)" -v b="$(value direct p50Ms)" 'BEGIN { printf "%.3f", a - b }')
