--- /dev/null
+++ b/packages/config/test/objects_test.cpp
@@ -0,0 +1,93 @@
+#include "config/configsnapshot.h"
+#include "config/daemonsettings.h"
+#include "config/objects.h"
+#include "foundation/errors.h"
+
+#include <gtest/gtest.h>
+
+namespace mustardpond {
+
+namespace {
+
+const char *const WORK_CLASS = R"({"kind":"idempotent","latencyTargetMs":150,"successTarget":0.99,"deadlineMs":3000})";
+const char *const SERVICE = R"({"floor":0.5,"director":"aylin"})";
+
+StoredObject route(const std::string &name, const std::string &prefix, const std::string &workClass)
+{
+    return {"route", name, 1, false,
+            R"({"prefix":")" + prefix + R"(","service":"sicil","class":")" + workClass + "\"}"};
+}
+
+class ConfigBuilderTest : public ::testing::Test
+{
+protected:
+    ConfigBuilderTest()
+    {
+        m_builder.take({"class", "lookup", 1, false, WORK_CLASS});
+        m_builder.take({"class", "report", 1, false, WORK_CLASS});
+        m_builder.take({"service", "sicil", 1, false, SERVICE});
+    }
+
+    int m_invalid = 0;
+    ConfigBuilder m_builder{[this](const StoredObject &, const std::string &) { ++m_invalid; }};
+};
+
+TEST_F(ConfigBuilderTest, LongestPrefixWinsAtSegmentBoundaries)
+{
+    m_builder.take(route("all", "/sicil", "lookup"));
+    m_builder.take(route("some", "/sicil/reports", "report"));
+    const auto snapshot = m_builder.build();
+    EXPECT_EQ(snapshot->route("/sicil/reports/7?x=1", "GET").workClass->name, "report");
+    EXPECT_EQ(snapshot->route("/sicil/reportsX", "GET").workClass->name, "lookup");
+    EXPECT_EQ(snapshot->route("/sicilX", "GET").workClass, nullptr);
+}
+
+TEST_F(ConfigBuilderTest, InvalidObjectLeavesTheLastGoodOneInForce)
+{
+    m_builder.take({"class", "lookup", 2, false, R"({"kind":"idempotent"})"});
+    EXPECT_EQ(m_invalid, 1);
+    EXPECT_EQ(m_builder.build()->workClass("lookup")->latencyTarget, Millis(150));
+    EXPECT_EQ(m_builder.build()->versions().at("class/lookup"), 1U);
+}
+
+TEST_F(ConfigBuilderTest, OnlyApprovedRefusalsAreInForce)
+{
+    const std::string start = R"({"service":"sicil","class":"lookup","share":1,"expiresMs":5,"director":"a","state":")";
+    m_builder.take({"refusal", "r1", 1, false, start + "requested\"}"});
+    EXPECT_TRUE(m_builder.build()->refusals().empty());
+    m_builder.take({"refusal", "r1", 2, false, start + "approved\"}"});
+    EXPECT_EQ(m_builder.build()->refusals().size(), 1U);
+    m_builder.take({"refusal", "r1", 3, false, start + "withdrawn\"}"});
+    EXPECT_TRUE(m_builder.build()->refusals().empty());
+}
+
+TEST(ObjectTableTest, NoObjectReturnsToALowerVersion)
+{
+    ObjectTable table;
+    EXPECT_TRUE(table.apply({"class", "a", 5, false, "new"}));
+    EXPECT_FALSE(table.apply({"class", "a", 4, false, "old"}));
+    EXPECT_TRUE(table.apply({"class", "a", 6, true, ""}));
+    EXPECT_FALSE(table.apply({"class", "a", 5, false, "new"}));
+    EXPECT_FALSE(table.find("class", "a"));
+}
+
+TEST(DaemonSettingsTest, ErrorsNameTheField)
+{
+    try {
+        parseDaemonSettings(R"({"node":"n","region":"r","dataCentre":"d","caller":"here"})", "node.json");
+        FAIL() << "nothing was thrown";
+    } catch (const InvalidField &error) {
+        EXPECT_EQ(error.field(), "caller");
+    }
+}
+
+TEST(CheckObjectTest, DeadlineBelowTheTargetIsRejected)
+{
+    const std::string text = R"({"kind":"idempotent","latencyTargetMs":150,"successTarget":0.99,"deadlineMs":100})";
+    EXPECT_THROW(checkObject({"class", "lookup", 0, false, text}), InvalidField);
+    EXPECT_THROW(checkObject({"klass", "lookup", 0, false, text}), InvalidField);
+}
+
+} // namespace
+
+} // namespace mustardpond
--- a/packages/daemon/src/router.h
+++ b/packages/daemon/src/router.h
@@ -37,15 +37,24 @@
     /// Asks callers to connect elsewhere; requests in flight go on.
     void leave();
     /// Serves the callers that have connected already, and no others.
-    void stopAccepting(const Yield &yield) { m_listener->drain(yield); }
+    void stopAccepting(const Yield &yield)
+    {
+        m_listener->drain(yield);
+    }
     bool isLeaving() const
     {
         return m_leaving;
     }
     /// Whether no caller has a request here, nor has sent anything for a while.
     bool isQuiet() const;
-    void addSession(const CallerSession *session) { m_sessions.insert(session); }
-    void removeSession(const CallerSession *session) { m_sessions.erase(session); }
+    void addSession(const CallerSession *session)
+    {
+        m_sessions.insert(session);
+    }
+    void removeSession(const CallerSession *session)
+    {
+        m_sessions.erase(session);
+    }
     bool isBusy() const
     {
         return m_inFlight > 0;
--- a/packages/decision/bench/baselinedetectors.h
+++ b/packages/decision/bench/baselinedetectors.h
@@ -14,10 +14,22 @@
 class RuleDetector : public Detector
 {
 public:
-    void setUpstream(const std::string &upstream, double slots) override { m_upstreams[upstream].slots = slots; }
-    void removeUpstream(const std::string &upstream) override { m_upstreams.erase(upstream); }
-    void setFloor(double floor) override { m_floor = floor; }
-    void onStart(const AttemptStart &start, Millis now) override { m_running[start.attempt] = start; }
+    void setUpstream(const std::string &upstream, double slots) override
+    {
+        m_upstreams[upstream].slots = slots;
+    }
+    void removeUpstream(const std::string &upstream) override
+    {
+        m_upstreams.erase(upstream);
+    }
+    void setFloor(double floor) override
+    {
+        m_floor = floor;
+    }
+    void onStart(const AttemptStart &start, Millis now) override
+    {
+        m_running[start.attempt] = start;
+    }
     void onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now) override;
     std::vector<HealthChange> tick(Millis now) override;
     double weight(const std::string &upstream, const std::string &workClass, Millis now) const override;
@@ -58,7 +70,7 @@
     }
 
 private:
-    void learn(Upstream &, AttemptResult, Millis) override {}
+    void learn(Upstream &, AttemptResult, Millis) override { }
     std::vector<std::string> suspects(Millis now) override;
 
     Oracle m_answersProbes;
--- a/packages/decision/bench/detection_main.cpp
+++ b/packages/decision/bench/detection_main.cpp
@@ -29,7 +29,7 @@
     std::optional<DetectionProfile> gateProfile;
 };
 
-template<typename Rule>
+template <typename Rule>
 DetectorFactory ruleFactory()
 {
     return [](const auto &) { return std::make_unique<Rule>(); };
--- a/packages/decision/bench/servicetrace.cpp
+++ b/packages/decision/bench/servicetrace.cpp
@@ -177,8 +177,7 @@
             candidate.load = router.running[index];
             candidate.slots = static_cast<double>(m_plan.slots);
             candidate.weight = router.detector->weight(std::to_string(index), request.workClass, m_now);
-            candidate.excluded
-                = std::find(request.tried.begin(), request.tried.end(), index) != request.tried.end();
+            candidate.excluded = std::find(request.tried.begin(), request.tried.end(), index) != request.tried.end();
         }
         const auto chosen = chooseUpstream(candidates, m_plan.latencyTarget, m_random);
         if (!chosen) {
@@ -191,7 +190,8 @@
             // The gate sends it back within a round trip; the upstream never sees it.
             at(NETWORK, [this, number, routerIndex, chosen] {
                 const auto found = m_requests.find(number);
-                m_routers[routerIndex].detector->onGateSuspects(std::to_string(*chosen), found->second.workClass, m_now);
+                m_routers[routerIndex].detector->onGateSuspects(std::to_string(*chosen), found->second.workClass,
+                                                                m_now);
                 send(number, routerIndex);
             });
             return;
@@ -211,7 +211,8 @@
         }
         upstream.waiting.push_back(attempt);
         startNext(*chosen);
-        at(m_plan.latencyTarget * ATTEMPT_TARGETS, [this, attempt] { settle(attempt, AttemptResult::TimedOut, Millis()); });
+        at(m_plan.latencyTarget * ATTEMPT_TARGETS,
+           [this, attempt] { settle(attempt, AttemptResult::TimedOut, Millis()); });
     }
 
     bool handsOver(const CallerRequest &request, const Router &router, std::size_t upstream)
@@ -220,8 +221,8 @@
         if (!judge) {
             return false;
         }
-        const auto normality
-            = router.detector->normality(std::to_string(upstream), request.workClass, m_plan.latencyTarget, m_now);
+        const auto normality =
+            router.detector->normality(std::to_string(upstream), request.workClass, m_plan.latencyTarget, m_now);
         judge->onArrival(request.workClass, normality, m_now);
         return judge->isSuspect(request.workClass, m_now)
             && !router.detector->mustServe(std::to_string(upstream), request.workClass);
@@ -268,7 +269,8 @@
         // An Erlang-2 distribution: a moderate tail, as of a backend server with a cache.
         const double draw = -std::log((1 - m_random.unit()) * (1 - m_random.unit())) / 2;
         Served served{m_plan.serviceTime * draw, false};
-        const bool shared = m_plan.fault == FaultKind::SharedSlow && m_now >= m_plan.faultStart && m_now < m_plan.faultEnd;
+        const bool shared =
+            m_plan.fault == FaultKind::SharedSlow && m_now >= m_plan.faultStart && m_now < m_plan.faultEnd;
         if (shared) {
             served.time = served.time * SHARED_FACTOR;
         }
--- a/packages/decision/bench/servicetrace.h
+++ b/packages/decision/bench/servicetrace.h
@@ -56,8 +56,8 @@
 };
 
 /// Makes a router's detector. The oracle tells whether an upstream answers probes.
-using DetectorFactory
-    = std::function<std::unique_ptr<Detector>(const std::function<bool(const std::string &, Millis)> &)>;
+using DetectorFactory =
+    std::function<std::unique_ptr<Detector>(const std::function<bool(const std::string &, Millis)> &)>;
 
 struct TraceResult {
     std::vector<double> detectionMs; ///< per faulty upstream: fault's start to the last request sent before recovery
--- a/packages/decision/include/decision/cusum.h
+++ b/packages/decision/include/decision/cusum.h
@@ -13,7 +13,10 @@
     /// @param peerBadShare share of bad outcomes among the other upstreams, in [0, 1]
     void add(bool bad, double peerBadShare);
     double score(double peerBadShare) const;
-    bool hasBad() const { return m_bad > 0; }
+    bool hasBad() const
+    {
+        return m_bad > 0;
+    }
     void clear();
 
 private:
--- a/packages/decision/include/decision/detector.h
+++ b/packages/decision/include/decision/detector.h
@@ -68,7 +68,7 @@
     /// @param serviceTime time the upstream itself took, without queueing and network
     virtual void onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now) = 0;
     /// Takes over the word of an upstream's gate, which sees the requests of all routers.
-    virtual void onGateSuspects(const std::string & /*upstream*/, const std::string & /*workClass*/, Millis /*now*/) {}
+    virtual void onGateSuspects(const std::string & /*upstream*/, const std::string & /*workClass*/, Millis /*now*/) { }
     /// What to tell the gate of an upstream with a request.
     virtual Normality normality(const std::string & /*upstream*/, const std::string & /*workClass*/,
                                 Millis latencyTarget, Millis /*now*/) const
@@ -76,7 +76,10 @@
         return {latencyTarget, 0};
     }
     /// Whether the upstream has to serve although its gate suspects it, since the floor leaves no other.
-    virtual bool mustServe(const std::string & /*upstream*/, const std::string & /*workClass*/) const { return false; }
+    virtual bool mustServe(const std::string & /*upstream*/, const std::string & /*workClass*/) const
+    {
+        return false;
+    }
     /// Looks at running attempts and expiring holds. To be called every few tens of milliseconds.
     virtual std::vector<HealthChange> tick(Millis now) = 0;
 
--- a/packages/decision/src/sequentialdetector.cpp
+++ b/packages/decision/src/sequentialdetector.cpp
@@ -111,8 +111,8 @@
     found->second.tracks[workClass].suspectedByGate = true;
 }
 
-Normality SequentialDetector::normality(const std::string &upstream, const std::string &workClass,
-                                        Millis latencyTarget, Millis now) const
+Normality SequentialDetector::normality(const std::string &upstream, const std::string &workClass, Millis latencyTarget,
+                                        Millis now) const
 {
     const auto found = m_baselines.find(workClass);
     if (found == m_baselines.end()) {
@@ -128,8 +128,7 @@
         return false;
     }
     const auto track = found->second.tracks.find(workClass);
-    return m_sharedUntil.count(workClass) > 0
-        || (track != found->second.tracks.end() && track->second.heldByFloor);
+    return m_sharedUntil.count(workClass) > 0 || (track != found->second.tracks.end() && track->second.heldByFloor);
 }
 
 std::vector<HealthChange> SequentialDetector::tick(Millis now)
@@ -226,8 +225,8 @@
     }
     for (const auto &[name, upstream] : m_upstreams) {
         const auto track = upstream.tracks.find(workClass);
-        const bool recent = track != upstream.tracks.end() && track->second.ejected
-            && now - track->second.ejectedAt < SHARED_WINDOW;
+        const bool recent =
+            track != upstream.tracks.end() && track->second.ejected && now - track->second.ejectedAt < SHARED_WINDOW;
         count += recent ? 1 : 0;
     }
     return count >= std::max(SHARED_LEAST, SHARED_SHARE * static_cast<double>(m_upstreams.size()));
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -31,14 +31,12 @@
     StoreUnreachable = 402,
     StoreReachable = 403,
     RefusalRequested = 500,
-    RefusalInForce = 501,
-    RefusalEnded = 502,
     PeerRejected = 600,
     CallerRejected = 601,
     AnswerDiscarded = 602,
 };
 
-constexpr EnumTable<Event, 26> EVENT_NAMES = {{
+constexpr EnumTable<Event, 24> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -60,8 +58,6 @@
     {Event::StoreUnreachable, "store-unreachable"},
     {Event::StoreReachable, "store-reachable"},
     {Event::RefusalRequested, "refusal-requested"},
-    {Event::RefusalInForce, "refusal-in-force"},
-    {Event::RefusalEnded, "refusal-ended"},
     {Event::PeerRejected, "peer-rejected"},
     {Event::CallerRejected, "caller-rejected"},
     {Event::AnswerDiscarded, "answer-discarded"},
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -33,7 +33,6 @@
     case Event::ObjectInvalid:
     case Event::StoreUnreachable:
     case Event::RefusalRequested:
-    case Event::RefusalInForce:
     case Event::PeerRejected:
     case Event::AnswerDiscarded:
         return true;
--- /dev/null
+++ b/packages/foundation/test/fieldreader_test.cpp
@@ -0,0 +1,50 @@
+#include "foundation/fieldreader.h"
+
+#include <gtest/gtest.h>
+
+namespace mustardpond {
+
+namespace {
+
+template <typename Action>
+std::string messageOf(Action action)
+{
+    try {
+        action();
+    } catch (const Exception &error) {
+        return error.what();
+    }
+    return "nothing was thrown";
+}
+
+TEST(FieldReaderTest, ErrorsNameFieldValueAndRemedy)
+{
+    const auto document = nlohmann::json::parse(R"({"limits": {"bytes": -1}})");
+    FieldReader reader(document, "");
+    FieldReader limits = reader.object("limits");
+    EXPECT_EQ(messageOf([&] {
+                  limits.number("bytes", {1, 10});
+              }),
+              "field 'limits.bytes' is -1: write a number from 1 to 10");
+    EXPECT_EQ(messageOf([&] { limits.text("name"); }),
+              "field 'limits.name' is missing: write a text of at least one character");
+}
+
+TEST(FieldReaderTest, UnknownFieldsAreRejectedWithTheKnownOnes)
+{
+    const auto document = nlohmann::json::parse(R"({"floor": 0.5, "flor": 1})");
+    FieldReader reader(document, "");
+    reader.number("floor", {0, 1});
+    EXPECT_EQ(messageOf([&] { reader.rejectOthers(); }),
+              "field 'flor' is 1: remove it; the fields known here are floor");
+}
+
+TEST(FieldReaderTest, TextThatIsNotJsonNamesItsSource)
+{
+    EXPECT_NE(messageOf([] { parseJson("{", "node.json"); }).find("node.json is not a valid JSON document"),
+              std::string::npos);
+}
+
+} // namespace
+
+} // namespace mustardpond
--- a/packages/testing/src/links_main.cpp
+++ b/packages/testing/src/links_main.cpp
@@ -124,7 +124,8 @@
     bool m_ended = false;
 };
 
-void relay(asio::io_context &context, const Cuts &cuts, tcp::socket accepted, const Endpoint &target, const Yield &yield)
+void relay(asio::io_context &context, const Cuts &cuts, tcp::socket accepted, const Endpoint &target,
+           const Yield &yield)
 {
     auto near = std::make_shared<tcp::socket>(std::move(accepted));
     const auto source = near->remote_endpoint().address();
@@ -162,16 +163,18 @@
         const Endpoint target = parseEndpoint(host, "host");
         Endpoint listen = target;
         listen.address.replace(0, 5, "127.2");
-        listeners.push_back(std::make_shared<Listener>(context, listen, [&, target](tcp::socket socket, const Yield &yield) {
-            relay(context, cuts, std::move(socket), target, yield);
-        }));
+        listeners.push_back(
+            std::make_shared<Listener>(context, listen, [&, target](tcp::socket socket, const Yield &yield) {
+                relay(context, cuts, std::move(socket), target, yield);
+            }));
         listeners.back()->start();
     }
-    HttpServer server(context, parseEndpoint(control, "control"), [&](const Request &request, tcp::socket &, const Yield &) {
-        const auto document = nlohmann::json::parse(request.body());
-        cuts.pairs = document.at("cut").get<std::set<std::string>>();
-        return jsonResponse(http::status::ok, "{}");
-    });
+    HttpServer server(context, parseEndpoint(control, "control"),
+                      [&](const Request &request, tcp::socket &, const Yield &) {
+                          const auto document = nlohmann::json::parse(request.body());
+                          cuts.pairs = document.at("cut").get<std::set<std::string>>();
+                          return jsonResponse(http::status::ok, "{}");
+                      });
     server.start();
     context.run();
 }
--- /dev/null
+++ b/tests/process/embedding_test.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Another program builds against the installed tree and runs; the examples of settings pass their check.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+OUT=$PWD/out/tests/embedding
+rm -rf "$OUT"
+mkdir -p "$OUT"
+cmake --install build --prefix "$OUT/installed" >/dev/null
+cmake -S examples/embedding -B "$OUT/build" -G Ninja -DCMAKE_PREFIX_PATH="$OUT/installed" >/dev/null
+cmake --build "$OUT/build" >/dev/null
+"$OUT/build/embedding"
+for settings in examples/*/node.json; do
+    "$OUT/installed/bin/mustardpond" --check-settings "$settings"
+done
+"$OUT/installed/bin/mustardpond" --version
+echo "passed embedding"
--- /dev/null
+++ b/tests/process/upload_test.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Large uploads stream through with bounded memory: one of 50 MB, then 40 of 5 MB at once; each arrives with the digest
+# that its caller sent.
+TEST=upload BASE=23
+. "$(dirname "$0")/fixture.sh"
+startFleet kanit
+BIG='{"kind":"upload","path":"/kanit/files","bytes":50000000}'
+MANY='{"kind":"upload","path":"/kanit/files","bytes":5000000}'
+callers big --work "$BIG" --rate 2 --connections 1 --seconds 2 --seed 21
+expectAllWhole big
+callers many --work "$MANY" --rate 40 --connections 40 --seconds 2 --seed 22
+expectAllWhole many
+for host in "${!DAEMON_PIDS[@]}"; do
+    peak=$(awk '/VmHWM/ { print $2 }' "/proc/${DAEMON_PIDS[$host]}/status")
+    echo "daemon $host: at most $peak KB"
+    if [ "$peak" -gt 131072 ]; then
+        echo "FAILED $TEST: the daemon took more than 128 MB"
+        exit 1
+    fi
+done
+echo "passed $TEST"
