Close a request everywhere after its second crash

Cause: each gate remembered only the crashes of its own upstream, so a request that its caller sends again could crash every upstream of a service, one after the other. Change: a crash is passed on by gossip under a name of its own; gates add up the crashes of all hosts; a router does not retry what has just crashed an upstream; records live ten minutes. Conclusion: the second crash is the last, if gossip (a second or two) is quicker than the next sending.

--- a/packages/config/include/config/objects.h
+++ b/packages/config/include/config/objects.h
@@ -12,15 +12,16 @@
 
 namespace mustardpond {
 
-enum class ObjectKind : std::uint8_t { WorkClass, Service, Route, Director, Refusal, Node };
+enum class ObjectKind : std::uint8_t { WorkClass, Service, Route, Director, Refusal, Node, Crash };
 
-constexpr EnumTable<ObjectKind, 6> OBJECT_KIND_NAMES = {{
+constexpr EnumTable<ObjectKind, 7> OBJECT_KIND_NAMES = {{
     {ObjectKind::WorkClass, "class"},
     {ObjectKind::Service, "service"},
     {ObjectKind::Route, "route"},
     {ObjectKind::Director, "director"},
     {ObjectKind::Refusal, "refusal"},
     {ObjectKind::Node, "node"},
+    {ObjectKind::Crash, "crash"},
 }};
 
 /// A service and the share of its capacity that ejections must leave in use.
@@ -64,6 +65,11 @@
     std::string inner;
 };
 
+/// A request that was running when an upstream crashed. Daemons pass these on; the platform does not hold them.
+struct CrashObject {
+    std::uint64_t fingerprint = 0;
+};
+
 /// Parsing throws InvalidDocument or InvalidField.
 WorkClass parseWorkClass(const StoredObject &object);
 ServiceObject parseService(const StoredObject &object);
@@ -71,6 +77,9 @@
 DirectorObject parseDirector(const StoredObject &object);
 RefusalObject parseRefusal(const StoredObject &object);
 NodeObject parseNode(const StoredObject &object);
+CrashObject parseCrash(const StoredObject &object);
+/// A crash as an object whose name nobody else uses.
+StoredObject crashObject(std::uint64_t fingerprint, const std::string &uniqueName);
 
 /// The JSON text of a refusal.
 std::string toJsonText(const RefusalObject &refusal);
--- a/packages/config/src/configsnapshot.cpp
+++ b/packages/config/src/configsnapshot.cpp
@@ -101,6 +101,7 @@
         break;
     case ObjectKind::Director:
     case ObjectKind::Node:
+    case ObjectKind::Crash:
         break;
     }
 }
@@ -122,6 +123,7 @@
         break;
     case ObjectKind::Director:
     case ObjectKind::Node:
+    case ObjectKind::Crash:
         break;
     }
 }
--- a/packages/config/src/objects.cpp
+++ b/packages/config/src/objects.cpp
@@ -2,6 +2,8 @@
 
 #include "foundation/fieldreader.h"
 
+#include <charconv>
+
 namespace mustardpond {
 
 namespace {
@@ -107,6 +109,25 @@
     return node;
 }
 
+CrashObject parseCrash(const StoredObject &object)
+{
+    const nlohmann::json document = documentOf(object);
+    FieldReader reader(document, "");
+    const std::string text = reader.text("fingerprint");
+    CrashObject crash;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), crash.fingerprint);
+    if (result.ec != std::errc()) {
+        reader.fail("fingerprint", "write a decimal number as text");
+    }
+    return crash;
+}
+
+StoredObject crashObject(std::uint64_t fingerprint, const std::string &uniqueName)
+{
+    const nlohmann::json document = {{"fingerprint", std::to_string(fingerprint)}};
+    return {std::string(nameOf(OBJECT_KIND_NAMES, ObjectKind::Crash)), uniqueName, 1, false, document.dump()};
+}
+
 std::string toJsonText(const RefusalObject &refusal)
 {
     nlohmann::json document = {
@@ -148,6 +169,9 @@
     case ObjectKind::Node:
         parseNode(object);
         break;
+    case ObjectKind::Crash:
+        parseCrash(object);
+        break;
     }
 }
 
--- a/packages/daemon/src/controlmessages.h
+++ b/packages/daemon/src/controlmessages.h
@@ -37,6 +37,11 @@
     RefusalObject refusal;
 };
 
+/// A request was running when an upstream of this host crashed.
+struct CrashSeen {
+    std::uint64_t fingerprint = 0;
+};
+
 /// Which members share the work of watching the platform.
 struct WatchDuty {
     bool watches = true;
@@ -51,3 +56,4 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::StoreChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::RefusalWanted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::WatchDuty)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::CrashSeen)
--- a/packages/daemon/src/controlplane.cpp
+++ b/packages/daemon/src/controlplane.cpp
@@ -36,6 +36,7 @@
     caf::actor_system system;
     std::shared_ptr<GossipSender> sender;
     ViewHandler onView;
+    CrashHandler onCrash;
     caf::actor members;
     caf::actor store;
 };
@@ -47,7 +48,7 @@
 
 ControlPlane::~ControlPlane()
 {
-    stop();
+    ControlPlane::stop();
 }
 
 void ControlPlane::onView(ViewHandler handler)
@@ -55,6 +56,11 @@
     m_actors->onView = std::move(handler);
 }
 
+void ControlPlane::onCrash(CrashHandler handler)
+{
+    m_actors->onCrash = std::move(handler);
+}
+
 void ControlPlane::start()
 {
     MemberActorOutput output;
@@ -62,9 +68,12 @@
         auto shared = std::make_shared<std::vector<OutgoingGossip>>(std::move(messages));
         asio::post(actors->context, [sender = actors->sender, shared] { sender->send(std::move(*shared)); });
     };
-    output.publish = [actors = m_actors.get()](std::shared_ptr<const FleetView> view) {
+    output.publish = [actors = m_actors.get()](const std::shared_ptr<const FleetView> &view) {
         asio::post(actors->context, [handler = actors->onView, view] { handler(view); });
     };
+    output.noteCrash = [actors = m_actors.get()](std::uint64_t fingerprint) {
+        asio::post(actors->context, [handler = actors->onCrash, fingerprint] { handler(fingerprint); });
+    };
     m_actors->members = m_actors->system.spawn(memberActor, m_actors->settings, m_actors->incarnation, output);
     m_actors->store = m_actors->system.spawn<caf::detached>(storeActor, m_actors->settings, m_actors->members);
     caf::anon_send(m_actors->members, m_actors->store);
@@ -96,6 +105,11 @@
     caf::anon_send(m_actors->members, LeaveRequested{});
 }
 
+void ControlPlane::reportCrash(std::uint64_t fingerprint)
+{
+    caf::anon_send(m_actors->members, CrashSeen{fingerprint});
+}
+
 void ControlPlane::requestRefusal(const RefusalObject &refusal)
 {
     caf::anon_send(m_actors->store, RefusalWanted{refusal});
--- a/packages/daemon/src/controlplane.h
+++ b/packages/daemon/src/controlplane.h
@@ -21,12 +21,16 @@
     /// Receives each new view, on the request path's thread.
     using ViewHandler = std::function<void(std::shared_ptr<const FleetView>)>;
 
+    using CrashHandler = std::function<void(std::uint64_t fingerprint)>;
+
     ControlPlane(asio::io_context &context, const DaemonSettings &settings, Incarnation incarnation);
     ~ControlPlane() override;
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
 
     void onView(ViewHandler handler);
+    /// Called, on the request path's thread, for each crash that another daemon has seen.
+    void onCrash(CrashHandler handler);
     void start() override;
     void stop() override;
 
@@ -34,6 +38,8 @@
     void receiveGossip(std::shared_ptr<const wire::GossipT> message);
     void setUpstreams(std::vector<UpstreamInfo> upstreams);
     void leave();
+    /// Tells all daemons that a request was running when an upstream crashed.
+    void reportCrash(std::uint64_t fingerprint);
     /// Asks for a director's approval of a refusal; one request at a time is kept per service and class.
     void requestRefusal(const RefusalObject &refusal);
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -56,6 +56,12 @@
     });
     gate->context().registry.onChange(
         [control = control.get()](const std::vector<UpstreamInfo> &upstreams) { control->setUpstreams(upstreams); });
+    gate->context().reportCrash = [control = control.get()](std::uint64_t fingerprint) {
+        control->reportCrash(fingerprint);
+    };
+    control->onCrash([this, gate = gate.get()](std::uint64_t fingerprint) {
+        gate->context().quarantine.onCrash(fingerprint, m_clock.now());
+    });
     auto lastAsked = std::make_shared<std::map<std::string, Millis>>();
     router->onSaturation([this, lastAsked, router = router.get(),
                           control = control.get()](const std::string &service, const std::string &workClass) {
--- a/packages/daemon/src/dispatch.cpp
+++ b/packages/daemon/src/dispatch.cpp
@@ -110,8 +110,12 @@
     return attempt.answer.status >= SERVER_ERROR;
 }
 
-bool Dispatch::mayRetry(const Attempt & /*attempt*/)
+bool Dispatch::mayRetry(const Attempt &attempt)
 {
+    // A request that crashed an upstream may crash the next one.
+    if (attempt.answer.reason == wire::NotRunReason::Quarantined) {
+        return false;
+    }
     if (m_request.workClass.kind == WorkKind::Irreversible || m_bodyConsumed || remaining() <= Millis()) {
         return false;
     }
--- a/packages/daemon/src/gatecontext.h
+++ b/packages/daemon/src/gatecontext.h
@@ -9,6 +9,7 @@
 #include "upstreamclient.h"
 #include "upstreamregistry.h"
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -45,6 +46,7 @@
     DetectionProfile profile;
     std::map<std::string, UpstreamJudge> judges; ///< by upstream
     std::uint64_t nextRun = 0;
+    std::function<void(std::uint64_t)> reportCrash; ///< tells the other daemons
     bool leaving = false;
     std::size_t running = 0; ///< requests that the gate has accepted and not answered
 };
--- a/packages/daemon/src/gaterun.cpp
+++ b/packages/daemon/src/gaterun.cpp
@@ -122,7 +122,7 @@
     if (upstream->announced.state != UpstreamState::Ready) {
         return answerNotRun(NotRunReason::Leaving, "the upstream takes no new work", yield);
     }
-    if (m_gate.quarantine.standing(fingerprint()) == RequestStanding::Quarantined) {
+    if (m_gate.quarantine.standing(fingerprint(), m_arrivedAt) == RequestStanding::Quarantined) {
         return answerNotRun(NotRunReason::Quarantined, "this request crashed upstreams before", yield);
     }
     UpstreamJudge &judge = m_gate.judgeOf(upstream->announced.id);
@@ -218,7 +218,7 @@
         }
         exchange(*m_exchange, yield);
         judge.onFinish(number, m_result, m_gate.clock.now() - m_startedAt, m_gate.clock.now());
-        m_gate.quarantine.onSurvived(fingerprint());
+        m_gate.quarantine.onSurvived(fingerprint(), m_gate.clock.now());
         m_gate.client.giveBack(address, *m_exchange);
         return;
     } catch (const boost::system::system_error &error) {
@@ -363,15 +363,34 @@
 {
     m_gate.client.drop(address);
     loseOperation();
+    wire::AnswerT answer = newAnswer(Outcome::Unknown);
+    answer.detail = "the exchange with the upstream failed: " + cause;
+    if (!m_exchange->isCancelled() && hasCrashed(address, yield)) {
+        noteCrash();
+        answer.reason = wire::NotRunReason::Quarantined;
+    }
+    finish(std::move(answer), yield);
+}
+
+bool GateRun::hasCrashed(const Endpoint &address, const Yield &yield)
+{
     try {
         m_gate.client.open(address, true, CRASH_CHECK_TIMEOUT, yield);
+        return false;
     } catch (const boost::system::system_error &error) {
-        if (error.code() == asio::error::connection_refused
-            && m_gate.quarantine.onCrash(fingerprint()) == RequestStanding::Quarantined) {
-            logEvent(Event::RequestQuarantined, {{"service", m_request.service}, {"fingerprint", fingerprint()}});
-        }
+        return error.code() == asio::error::connection_refused;
+    }
+}
+
+void GateRun::noteCrash()
+{
+    const auto standing = m_gate.quarantine.onCrash(fingerprint(), m_gate.clock.now());
+    if (m_gate.reportCrash) {
+        m_gate.reportCrash(fingerprint());
+    }
+    if (standing == RequestStanding::Quarantined) {
+        logEvent(Event::RequestQuarantined, {{"service", m_request.service}, {"fingerprint", fingerprint()}});
     }
-    answerUnknown("the exchange with the upstream failed: " + cause, yield);
 }
 
 void GateRun::answerNotRun(NotRunReason reason, const std::string &detail, const Yield &yield)
@@ -430,9 +449,7 @@
 
 std::uint64_t GateRun::fingerprint() const
 {
-    const std::string head = m_request.method + ' ' + m_request.target;
-    const auto seed = XXH3_64bits(head.data(), head.size());
-    return XXH3_64bits_withSeed(m_request.body.data(), m_request.body.size(), seed);
+    return requestFingerprint(m_request.method, m_request.target, m_request.body);
 }
 
 Millis GateRun::remaining() const
--- a/packages/daemon/src/gaterun.h
+++ b/packages/daemon/src/gaterun.h
@@ -34,6 +34,8 @@
     void relayUpload(UpstreamExchange &exchange, const Yield &yield);
     void receiveAnswer(UpstreamExchange &exchange, const Yield &yield);
     void relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, const Yield &yield);
+    bool hasCrashed(const Endpoint &address, const Yield &yield);
+    void noteCrash();
     void loseOperation();
     void recordFailure(const Endpoint &address, const std::string &cause, const Yield &yield);
 
--- a/packages/daemon/src/memberactor.cpp
+++ b/packages/daemon/src/memberactor.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <chrono>
+#include <set>
 
 namespace mustardpond {
 
@@ -98,6 +99,13 @@
         publishChanges();
     }
 
+    void reportCrash(std::uint64_t fingerprint)
+    {
+        const std::string name = m_membership.self().node + "." + std::to_string(m_random.next());
+        m_membership.applyObject(crashObject(fingerprint, name));
+        m_ownCrashes.insert(name);
+    }
+
     void takeObjects(const std::vector<StoredObject> &objects)
     {
         for (const StoredObject &object : objects) {
@@ -128,6 +136,18 @@
         }
     }
 
+    void takeCrash(const StoredObject &object)
+    {
+        if (m_ownCrashes.count(object.name) > 0) {
+            return;
+        }
+        try {
+            m_output.noteCrash(parseCrash(object).fingerprint);
+        } catch (const Exception &error) {
+            logEvent(Event::ObjectInvalid, {{"kind", object.kind}, {"name", object.name}, {"cause", error.what()}});
+        }
+    }
+
     void send(std::vector<OutgoingGossip> messages)
     {
         if (!messages.empty()) {
@@ -142,17 +162,25 @@
             m_changed = true;
         }
         for (const StoredObject &object : m_membership.takeObjectChanges()) {
+            if (object.kind == nameOf(OBJECT_KIND_NAMES, ObjectKind::Crash)) {
+                takeCrash(object);
+                continue;
+            }
             m_builder.take(object);
             logEvent(Event::ObjectApplied, {{"kind", object.kind}, {"name", object.name}, {"version", object.version}});
             m_changed = true;
             m_configured = true;
+            m_config = nullptr;
         }
         if (!m_changed) {
             return;
         }
         m_changed = false;
         auto view = std::make_shared<FleetView>();
-        view->config = m_builder.build();
+        if (!m_config) {
+            m_config = m_builder.build();
+        }
+        view->config = m_config;
         view->members = m_membership.members();
         view->upstreams = listUpstreams(view->members, m_membership.self());
         view->configured = m_configured;
@@ -165,6 +193,8 @@
     Membership m_membership;
     MemberActorOutput m_output;
     ConfigBuilder m_builder;
+    std::shared_ptr<const ConfigSnapshot> m_config; ///< null when objects have changed since it was built
+    std::set<std::string> m_ownCrashes;
     bool m_changed = true;
     bool m_configured = false;
 };
@@ -198,6 +228,7 @@
         [store](const caf::actor &handle) { *store = handle; },
         [driver](const GossipReceived &received) { driver->receive(*received.message); },
         [driver](const UpstreamsChanged &change) { driver->setUpstreams(change.upstreams); },
+        [driver](const CrashSeen &crash) { driver->reportCrash(crash.fingerprint); },
         [driver](LeaveRequested) { driver->leave(); },
         [driver](const StoreChanged &change) { driver->takeObjects(change.objects); },
     };
--- a/packages/decision/include/decision/quarantine.h
+++ b/packages/decision/include/decision/quarantine.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <deque>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace mustardpond {
 
@@ -15,26 +17,40 @@
     Quarantined, ///< crashed two: runs no more
 };
 
+/// Digest by which a request is known again.
+std::uint64_t requestFingerprint(const std::string &method, const std::string &target,
+                                 const std::vector<std::uint8_t> &body);
+
 /// Remembers the fingerprints of requests that were running when an upstream crashed. Not thread-safe.
 class Quarantine
 {
 public:
-    explicit Quarantine(std::size_t capacity = 10000)
+    explicit Quarantine(std::size_t capacity = 10000, Millis lifetime = Millis(600000))
         : m_capacity(capacity)
+        , m_lifetime(lifetime)
     {
     }
 
-    /// Notes a crash with the request running. Returns its new standing.
-    RequestStanding onCrash(std::uint64_t fingerprint);
+    /// Notes a crash with the request running, here or at another host. Returns its new standing.
+    RequestStanding onCrash(std::uint64_t fingerprint, Millis now);
     /// Notes that the request ran without a crash; clears a suspect, not a quarantined one.
-    void onSurvived(std::uint64_t fingerprint);
-    /// Ends a quarantine, on an operator's word.
-    void release(std::uint64_t fingerprint);
-    RequestStanding standing(std::uint64_t fingerprint) const;
+    void onSurvived(std::uint64_t fingerprint, Millis now);
+    /// Forgets a request, on an operator's word.
+    void release(std::uint64_t fingerprint)
+    {
+        m_records.erase(fingerprint);
+    }
+    RequestStanding standing(std::uint64_t fingerprint, Millis now) const;
 
 private:
+    struct Record {
+        int crashes = 0;
+        Millis lastCrash;
+    };
+
     std::size_t m_capacity;
-    std::unordered_map<std::uint64_t, int> m_crashes;
+    Millis m_lifetime; ///< of a record after the last crash
+    std::unordered_map<std::uint64_t, Record> m_records;
     std::deque<std::uint64_t> m_order;
 };
 
--- a/packages/decision/src/quarantine.cpp
+++ b/packages/decision/src/quarantine.cpp
@@ -1,5 +1,7 @@
 #include "decision/quarantine.h"
 
+#include <xxhash.h>
+
 namespace mustardpond {
 
 namespace {
@@ -8,41 +10,44 @@
 
 } // namespace
 
-RequestStanding Quarantine::onCrash(std::uint64_t fingerprint)
+std::uint64_t requestFingerprint(const std::string &method, const std::string &target,
+                                 const std::vector<std::uint8_t> &body)
 {
-    if (m_crashes.count(fingerprint) == 0) {
-        m_order.push_back(fingerprint);
-        if (m_order.size() > m_capacity) {
-            m_crashes.erase(m_order.front());
-            m_order.pop_front();
-        }
-    }
-    ++m_crashes[fingerprint];
-    return standing(fingerprint);
+    const std::string head = method + ' ' + target;
+    const auto seed = XXH3_64bits(head.data(), head.size());
+    return XXH3_64bits_withSeed(body.data(), body.size(), seed);
 }
 
-void Quarantine::onSurvived(std::uint64_t fingerprint)
+RequestStanding Quarantine::onCrash(std::uint64_t fingerprint, Millis now)
 {
-    if (standing(fingerprint) == RequestStanding::Suspect) {
-        m_crashes[fingerprint] = 0;
+    if (standing(fingerprint, now) == RequestStanding::Clear) {
+        m_records[fingerprint].crashes = 0;
+        m_order.push_back(fingerprint);
+    }
+    if (m_order.size() > m_capacity) {
+        m_records.erase(m_order.front());
+        m_order.pop_front();
     }
+    Record &record = m_records[fingerprint];
+    ++record.crashes;
+    record.lastCrash = now;
+    return standing(fingerprint, now);
 }
 
-void Quarantine::release(std::uint64_t fingerprint)
+void Quarantine::onSurvived(std::uint64_t fingerprint, Millis now)
 {
-    const auto found = m_crashes.find(fingerprint);
-    if (found != m_crashes.end()) {
-        found->second = 0;
+    if (standing(fingerprint, now) == RequestStanding::Suspect) {
+        m_records.erase(fingerprint);
     }
 }
 
-RequestStanding Quarantine::standing(std::uint64_t fingerprint) const
+RequestStanding Quarantine::standing(std::uint64_t fingerprint, Millis now) const
 {
-    const auto found = m_crashes.find(fingerprint);
-    if (found == m_crashes.end() || found->second == 0) {
+    const auto found = m_records.find(fingerprint);
+    if (found == m_records.end() || now - found->second.lastCrash > m_lifetime) {
         return RequestStanding::Clear;
     }
-    return found->second >= QUARANTINE_CRASHES ? RequestStanding::Quarantined : RequestStanding::Suspect;
+    return found->second.crashes >= QUARANTINE_CRASHES ? RequestStanding::Quarantined : RequestStanding::Suspect;
 }
 
 } // namespace mustardpond
--- a/packages/decision/test/balancer_test.cpp
+++ b/packages/decision/test/balancer_test.cpp
@@ -83,12 +83,22 @@
 TEST(QuarantineTest, SecondCrashClosesARequestUntilItIsReleased)
 {
     Quarantine quarantine(2);
-    EXPECT_EQ(quarantine.onCrash(7), RequestStanding::Suspect);
-    EXPECT_EQ(quarantine.onCrash(7), RequestStanding::Quarantined);
-    quarantine.onSurvived(7);
-    EXPECT_EQ(quarantine.standing(7), RequestStanding::Quarantined);
+    EXPECT_EQ(quarantine.onCrash(7, Millis(1)), RequestStanding::Suspect);
+    EXPECT_EQ(quarantine.onCrash(7, Millis(2)), RequestStanding::Quarantined);
+    quarantine.onSurvived(7, Millis(3));
+    EXPECT_EQ(quarantine.standing(7, Millis(4)), RequestStanding::Quarantined);
     quarantine.release(7);
-    EXPECT_EQ(quarantine.standing(7), RequestStanding::Clear);
+    EXPECT_EQ(quarantine.standing(7, Millis(5)), RequestStanding::Clear);
+}
+
+TEST(QuarantineTest, RequestThatSurvivesAndOldCrashesAreForgotten)
+{
+    Quarantine quarantine(2, Millis(100));
+    quarantine.onCrash(7, Millis(1));
+    quarantine.onSurvived(7, Millis(2));
+    EXPECT_EQ(quarantine.onCrash(7, Millis(3)), RequestStanding::Suspect);
+    EXPECT_EQ(quarantine.standing(7, Millis(104)), RequestStanding::Clear);
+    EXPECT_EQ(quarantine.onCrash(7, Millis(105)), RequestStanding::Suspect);
 }
 
 TEST(RefusalTest, AppliesOnlyWhileUnexpiredAndToItsShare)
--- a/packages/membership/bench/gossip_main.cpp
+++ b/packages/membership/bench/gossip_main.cpp
@@ -83,6 +83,28 @@
             {"slowestSpreadMs", slowest}};
 }
 
+/// Bytes of a member's record on its way, and its memory, against the upstreams of its host.
+nlohmann::json measureRecord(std::size_t upstreams)
+{
+    Member member;
+    member.node = "ankara-1-h100";
+    member.region = "ankara";
+    member.dataCentre = "ankara-1";
+    member.inner = "10.11.12.13:7000";
+    member.caller = "10.11.12.13:8080";
+    for (std::size_t index = 0; index < upstreams; ++index) {
+        member.upstreams.push_back({"sicil-" + std::to_string(100000 + index), "sicil", UpstreamState::Ready, 5});
+    }
+    wire::GossipT empty;
+    wire::GossipT message;
+    message.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(member)));
+    const std::size_t bytes = packMessage(message).size() - packMessage(empty).size();
+    constexpr std::size_t COPIES = 1000;
+    const double heapBefore = heapBytes();
+    const std::vector<Member> copies(COPIES, member);
+    return {{"upstreams", upstreams}, {"bytes", bytes}, {"heapBytes", (heapBytes() - heapBefore) / COPIES}};
+}
+
 /// Memory and processor time that routes cost a node.
 nlohmann::json measureRoutes(std::size_t routes)
 {
@@ -115,6 +137,7 @@
     CLI11_PARSE(app, argc, argv);
     nlohmann::json document = {{"members", nlohmann::json::array()},
                                {"changes", nlohmann::json::array()},
+                               {"records", nlohmann::json::array()},
                                {"routes", nlohmann::json::array()}};
     const std::vector<std::size_t> sizes =
         quick ? std::vector<std::size_t>{12, 24, 48, 96} : std::vector<std::size_t>{12, 48, 96, 192, 384};
@@ -124,10 +147,13 @@
     for (const double changes : {0.5, 1.0, 2.0, 4.0}) {
         document["changes"].push_back(measureMembers(48, changes));
     }
+    for (const std::size_t upstreams : {1, 10, 20, 38}) {
+        document["records"].push_back(measureRecord(upstreams));
+    }
     for (const std::size_t routes : {1000, 10000, 50000, 100000}) {
         document["routes"].push_back(measureRoutes(routes));
     }
-    for (const char *part : {"members", "changes", "routes"}) {
+    for (const char *part : {"members", "changes", "records", "routes"}) {
         std::cout << part << "\n";
         for (const auto &row : document[part]) {
             std::cout << "  " << row.dump() << "\n";
