Note a crash that shows only after the router gave up; split the caller session

Ruled out: slow gossip; no crash of the second upstream was reported at all. Change: after a cancelled exchange the gate looks for a crash three times within a second; routers do not retry requests that are suspect. Also: the caller session and the gate run lost what stood twice (digests, hop-by-hop fields, status rules, counts) to files of their own.

--- a/packages/daemon/src/callersession.cpp
+++ b/packages/daemon/src/callersession.cpp
@@ -1,13 +1,16 @@
 #include "callersession.h"
 
+#include "answerstream.h"
+
 #include "foundation/bytes.h"
 #include "foundation/errors.h"
 #include "foundation/events.h"
-#include "gaterun.h"
+#include "httprules.h"
+#include "operationopener.h"
 #include "router.h"
+#include "scopedcount.h"
 
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <charconv>
@@ -25,10 +28,7 @@
 constexpr std::size_t PIECE_BYTES = 64 * KIB;
 constexpr Millis WRITE_TIMEOUT{30000};
 constexpr Millis DRAIN_TIME{500};
-constexpr Millis OPEN_TIMEOUT{500};
 constexpr Millis OPEN_DEADLINE{5000};
-constexpr Millis OPEN_PAUSE{20};
-constexpr Millis CHUNK_TIMEOUT{30000};
 
 bool isOwnField(const std::string &name)
 {
@@ -37,24 +37,6 @@
         || beast::iequals(text, OUTCOME_FIELD);
 }
 
-bool isHopByHop(http::field name)
-{
-    switch (name) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-    case http::field::content_length:
-    case http::field::expect:
-        return true;
-    default:
-        return false;
-    }
-}
-
 http::status statusOf(const wire::AnswerT &answer)
 {
     if (answer.outcome == wire::Outcome::Unknown) {
@@ -72,62 +54,8 @@
     }
 }
 
-/// Counts a request while it is being served.
-class InFlight
-{
-public:
-    explicit InFlight(std::size_t &count)
-        : m_count(count)
-    {
-        ++m_count;
-    }
-    ~InFlight()
-    {
-        --m_count;
-    }
-    InFlight(const InFlight &) = delete;
-    InFlight &operator=(const InFlight &) = delete;
-
-private:
-    std::size_t &m_count;
-};
-
 } // namespace
 
-/// Reads the rest of a large body from the caller's connection.
-class CallerBody : public BodySource
-{
-public:
-    explicit CallerBody(CallerSession &session)
-        : m_session(session)
-    {
-    }
-
-    bool next(std::vector<std::uint8_t> &piece, const Yield &yield) override
-    {
-        auto &parser = *m_session.m_parser;
-        piece.resize(PIECE_BYTES);
-        parser.get().body().data = piece.data();
-        parser.get().body().size = piece.size();
-        m_session.m_stream.expires_after(toDuration(m_session.m_router.settings().limits.callerIdle));
-        ErrorCode error;
-        while (parser.get().body().size == piece.size() && !parser.is_done()) {
-            http::async_read_some(m_session.m_stream, m_session.m_buffer, parser, yield[error]);
-            if (error == http::error::need_buffer) {
-                break;
-            }
-            if (error) {
-                throw boost::system::system_error(error);
-            }
-        }
-        piece.resize(piece.size() - parser.get().body().size);
-        return !parser.is_done();
-    }
-
-private:
-    CallerSession &m_session;
-};
-
 CallerSession::CallerSession(Router &router, tcp::socket socket)
     : m_router(router)
     , m_stream(std::move(socket))
@@ -151,7 +79,7 @@
 void CallerSession::run(const Yield &yield)
 {
     while (m_open && readHead(yield)) {
-        const InFlight count(m_router.inFlight());
+        const ScopedCount count(m_router.inFlight());
         m_busy = true;
         handle(yield);
         m_busy = false;
@@ -252,45 +180,16 @@
     if (refuse(request, yield)) {
         return;
     }
-    const Millis deadline = m_router.clock().now() + OPEN_DEADLINE;
-    std::set<std::string> tried;
-    bool mustServe = false;
-    while (m_router.clock().now() < deadline) {
-        const UpstreamRef *chosen =
-            m_router.table().choose(request.service, request.workClass, tried, m_router.clock().now());
-        if (!chosen) {
-            tried.clear();
-            mustServe = true;
-            asio::steady_timer timer(m_stream.get_executor(), toDuration(OPEN_PAUSE));
-            timer.async_wait(yield);
-            continue;
-        }
-        const UpstreamRef ref = *chosen;
-        tried.insert(ref.id);
-        try {
-            auto channel = m_router.pool().take(ref.gate, OPEN_TIMEOUT, yield);
-            wire::OpenOperationT open;
-            open.request = ++m_router.dispatchContext().nextRequest;
-            open.service = request.service;
-            open.organisation = request.organisation;
-            open.workClass = request.workClass.name;
-            open.mustServe = mustServe;
-            const std::uint64_t number = open.request;
-            channel->send(packMessage(std::move(open)), OPEN_TIMEOUT, yield);
-            const auto reply = channel->receiveFor<wire::OperationOpenedT>(number, OPEN_TIMEOUT, yield);
-            m_router.pool().giveBack(ref.gate, std::move(channel));
-            if (reply.operation.empty()) {
-                continue;
-            }
-            http::response<http::string_body> response(http::status::created, 11);
-            response.set(http::field::content_type, "application/json");
-            response.body() = nlohmann::json({{"operation", reply.operation}}).dump();
-            return replyText(response, yield);
-        } catch (const boost::system::system_error &) {
-            m_router.pool().drop(ref.gate);
-        }
+    request.deadline = m_router.clock().now() + OPEN_DEADLINE;
+    OperationOpener opener(m_router.dispatchContext(), request);
+    const std::string operation = opener.open(yield);
+    if (operation.empty()) {
+        return replyProblem(http::status::service_unavailable, "no gate could open an operation: try again", yield);
     }
-    replyProblem(http::status::service_unavailable, "no gate could open an operation: try again", yield);
+    http::response<http::string_body> response(http::status::created, 11);
+    response.set(http::field::content_type, "application/json");
+    response.body() = nlohmann::json({{"operation", operation}}).dump();
+    replyText(response, yield);
 }
 
 void CallerSession::proxy(const Yield &yield)
@@ -303,7 +202,7 @@
     if (refuse(request, yield)) {
         return;
     }
-    CallerBody rest(*this);
+    CallerBody rest = bodyReader();
     if (!m_parser->is_done()) {
         request.source = &rest;
         request.bodyBytes = m_parser->content_length() ? *m_parser->content_length() : 0;
@@ -378,7 +277,7 @@
 bool CallerSession::readBody(CallerRequest &request, const Yield &yield)
 {
     const std::size_t limit = m_router.settings().limits.bufferedBodyBytes;
-    CallerBody body(*this);
+    CallerBody body = bodyReader();
     std::vector<std::uint8_t> piece;
     try {
         while (!m_parser->is_done() && request.body.size() < limit) {
@@ -433,12 +332,11 @@
     const auto outcome = static_cast<Outcome>(result.answer.outcome);
     m_router.metrics().addRequest(
         {request.service, request.workClass.name, outcome, latency, Millis(result.answer.upstreamMs)});
-    constexpr int SERVER_ERROR = 500;
     ServedRequest served;
     served.service = request.service;
     served.workClass = request.workClass.name;
-    served.good =
-        outcome == Outcome::Ran && result.answer.status < SERVER_ERROR && latency <= request.workClass.latencyTarget;
+    const bool whole = outcome == Outcome::Ran && !isServerError(result.answer.status);
+    served.good = whole && latency <= request.workClass.latencyTarget;
     served.retried = result.retried;
     served.spilled = result.spilled;
     served.held = result.held;
@@ -459,7 +357,7 @@
     response.keep_alive(keepAlive());
     const bool isHead = m_parser->get().method() == http::verb::head;
     if (answer.streamed) {
-        return streamAnswer(result, response, yield);
+        return replyStreamed(result, response, yield);
     }
     const bool bodyless = answer.status == 204 || answer.status == 304;
     if (!isHead && !bodyless) {
@@ -473,48 +371,17 @@
     m_open = m_open && response.keep_alive();
 }
 
-void CallerSession::streamAnswer(DispatchResult &result, http::response<http::buffer_body> &response,
-                                 const Yield &yield)
+void CallerSession::replyStreamed(DispatchResult &result, http::response<http::buffer_body> &response,
+                                  const Yield &yield)
 {
-    const std::uint64_t number = result.answer.request;
-    std::vector<std::uint8_t> piece = std::move(result.answer.body);
     const bool lengthKnown = response.has_content_length();
     if (!lengthKnown && response.version() >= 11) {
         response.chunked(true);
     }
-    response.body().data = nullptr;
-    response.body().more = true;
-    http::response_serializer<http::buffer_body> serializer(response);
-    XXH3_state_t *state = XXH3_createState();
-    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> owner(state, XXH3_freeState);
-    XXH3_64bits_reset(state);
     try {
-        m_stream.expires_after(toDuration(WRITE_TIMEOUT));
-        http::async_write_header(m_stream, serializer, yield);
-        for (bool last = false; true;) {
-            XXH3_64bits_update(state, piece.data(), piece.size());
-            response.body().data = piece.data();
-            response.body().size = piece.size();
-            response.body().more = !last;
-            m_stream.expires_after(toDuration(WRITE_TIMEOUT));
-            ErrorCode error;
-            http::async_write(m_stream, serializer, yield[error]);
-            if (error && error != http::error::need_buffer) {
-                throw boost::system::system_error(error);
-            }
-            if (last) {
-                break;
-            }
-            auto chunk = result.channel->receiveFor<wire::BodyChunkT>(number, CHUNK_TIMEOUT, yield);
-            piece = std::move(chunk.body);
-            last = chunk.last;
-            if (last) {
-                XXH3_64bits_update(state, piece.data(), piece.size());
-                if (XXH3_64bits_digest(state) != chunk.digest) {
-                    throw BadFrame("a streamed answer does not match its digest: check the link between the daemons");
-                }
-            }
-        }
+        StreamedAnswer answer{result.answer.request, std::move(result.answer.body), result.channel.get()};
+        streamAnswer(m_stream, response, std::move(answer), yield);
+        m_open = m_open && response.keep_alive() && (lengthKnown || response.chunked());
     } catch (const std::exception &) {
         // A reset tells the caller that the answer is not whole, whatever its framing.
         logEvent(Event::AnswerDiscarded, {{"upstream", result.upstream}});
@@ -522,9 +389,7 @@
         m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         m_stream.socket().close(ignored);
         m_open = false;
-        return;
     }
-    m_open = m_open && response.keep_alive() && (lengthKnown || response.chunked());
 }
 
 void CallerSession::replyProblem(http::status status, const std::string &detail, const Yield &yield)
@@ -557,6 +422,11 @@
     m_open = m_open && !error && response.keep_alive();
 }
 
+CallerBody CallerSession::bodyReader()
+{
+    return {m_stream, m_buffer, *m_parser, m_router.settings().limits.callerIdle};
+}
+
 std::string CallerSession::field(const std::string &name) const
 {
     return std::string(m_parser->get()[name]);
--- a/packages/daemon/src/callersession.h
+++ b/packages/daemon/src/callersession.h
@@ -1,6 +1,7 @@
 /// One caller's connection to the router.
 #pragma once
 
+#include "callerbody.h"
 #include "dispatch.h"
 
 #include <optional>
@@ -38,7 +39,8 @@
     void takeHeaders(CallerRequest &request) const;
     void reply(const CallerRequest &request, DispatchResult result, Millis startedAt, const Yield &yield);
     void replyRan(DispatchResult &result, const Yield &yield);
-    void streamAnswer(DispatchResult &result, http::response<http::buffer_body> &response, const Yield &yield);
+    void replyStreamed(DispatchResult &result, http::response<http::buffer_body> &response, const Yield &yield);
+    CallerBody bodyReader();
     void replyProblem(http::status status, const std::string &detail, const Yield &yield);
     void replyOutcome(http::status status, const wire::AnswerT &answer, const Yield &yield);
     void replyText(http::response<http::string_body> &response, const Yield &yield);
@@ -47,8 +49,6 @@
     Millis deadlineFor(const WorkClass &workClass) const;
     bool keepAlive() const;
 
-    friend class CallerBody;
-
     Router &m_router;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -62,6 +62,9 @@
     control->onCrash([this, gate = gate.get()](std::uint64_t fingerprint) {
         gate->context().quarantine.onCrash(fingerprint, m_clock.now());
     });
+    router->dispatchContext().standing = [this, gate = gate.get()](std::uint64_t fingerprint) {
+        return gate->context().quarantine.standing(fingerprint, m_clock.now());
+    };
     auto lastAsked = std::make_shared<std::map<std::string, Millis>>();
     router->onSaturation([this, lastAsked, router = router.get(),
                           control = control.get()](const std::string &service, const std::string &workClass) {
--- a/packages/daemon/src/dispatch.cpp
+++ b/packages/daemon/src/dispatch.cpp
@@ -1,9 +1,9 @@
 #include "dispatch.h"
 
-#include "foundation/errors.h"
-#include "gaterun.h"
+#include "bodydigest.h"
+#include "httprules.h"
 
-#include <xxhash.h>
+#include "foundation/errors.h"
 
 #include <algorithm>
 
@@ -18,8 +18,6 @@
 constexpr Millis CLOSE_TIMEOUT{200};
 constexpr Millis LEAST_ATTEMPT{300};
 constexpr double ATTEMPT_TARGETS = 4; ///< latency targets that one idempotent attempt may take
-constexpr unsigned SERVER_ERROR = 500;
-constexpr unsigned SERVICE_UNAVAILABLE = 503;
 
 AttemptResult resultOf(const wire::AnswerT &answer)
 {
@@ -31,10 +29,7 @@
     case wire::Outcome::Ran:
         break;
     }
-    if (answer.status == SERVICE_UNAVAILABLE) {
-        return AttemptResult::Unjudged;
-    }
-    return answer.status >= SERVER_ERROR ? AttemptResult::Failed : AttemptResult::Answered;
+    return resultOfStatus(answer.status);
 }
 
 } // namespace
@@ -107,13 +102,13 @@
     if (attempt.failed || attempt.answer.outcome == wire::Outcome::Unknown) {
         return true;
     }
-    return attempt.answer.status >= SERVER_ERROR;
+    return isServerError(attempt.answer.status);
 }
 
 bool Dispatch::mayRetry(const Attempt &attempt)
 {
     // A request that crashed an upstream may crash the next one.
-    if (attempt.answer.reason == wire::NotRunReason::Quarantined) {
+    if (attempt.answer.reason == wire::NotRunReason::Quarantined || isSuspect()) {
         return false;
     }
     if (m_request.workClass.kind == WorkKind::Irreversible || m_bodyConsumed || remaining() <= Millis()) {
@@ -122,6 +117,12 @@
     return m_shared.table.retryBudget(m_request.service).takeRetry();
 }
 
+bool Dispatch::isSuspect() const
+{
+    const auto fingerprint = requestFingerprint(m_request.method, m_request.target, m_request.body);
+    return m_shared.standing && m_shared.standing(fingerprint) != RequestStanding::Clear;
+}
+
 void Dispatch::runOperation(const Yield &yield)
 {
     const auto id = parseOperationId(m_request.operation);
@@ -262,19 +263,17 @@
         rejectFrame(first);
     }
     m_bodyConsumed = true;
-    XXH3_state_t *state = XXH3_createState();
-    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> owner(state, XXH3_freeState);
-    XXH3_64bits_reset(state);
+    StreamDigest digest;
     std::vector<std::uint8_t> piece = m_request.body;
     for (bool more = true; more;) {
         if (piece.empty()) {
             more = m_request.source->next(piece, yield);
         }
-        XXH3_64bits_update(state, piece.data(), piece.size());
+        digest.add(piece.data(), piece.size());
         wire::BodyChunkT chunk;
         chunk.request = number;
         chunk.last = !more;
-        chunk.digest = XXH3_64bits_digest(state);
+        chunk.digest = digest.value();
         chunk.body = std::move(piece);
         piece.clear();
         channel.send(packMessage(std::move(chunk)), SEND_TIMEOUT, yield);
--- a/packages/daemon/src/dispatch.h
+++ b/packages/daemon/src/dispatch.h
@@ -3,12 +3,14 @@
 
 #include "bodysource.h"
 #include "decision/outcome.h"
+#include "decision/quarantine.h"
 #include "gatepool.h"
 #include "metrics.h"
 #include "routingtable.h"
 
 #include "foundation/clock.h"
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -49,6 +51,8 @@
     GatePool &pool;
     Metrics &metrics;
     std::uint64_t &nextRequest;
+    /// Standing of requests by their fingerprint; null without a gate in the process.
+    std::function<RequestStanding(std::uint64_t)> standing;
 };
 
 class Dispatch
@@ -80,6 +84,7 @@
     void sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield);
     void noteFinish(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt, Millis startedAt);
     void closeOperation(const std::string &gate, const Yield &yield);
+    bool isSuspect() const;
     bool mayRetry(const Attempt &attempt);
     bool needsRetry(const Attempt &attempt) const;
     wire::ProxyRequestT message(const UpstreamRef &ref, std::uint64_t number) const;
--- a/packages/daemon/src/gate.cpp
+++ b/packages/daemon/src/gate.cpp
@@ -1,5 +1,8 @@
 #include "gate.h"
 
+#include "bodydigest.h"
+#include "scopedcount.h"
+
 namespace mustardpond {
 
 namespace {
@@ -8,26 +11,6 @@
 constexpr Millis SEND_TIMEOUT{5000};
 constexpr Millis TICK{20};
 
-/// Counts a request while it is at the gate.
-class RunCount
-{
-public:
-    explicit RunCount(std::size_t &count)
-        : m_count(count)
-    {
-        ++m_count;
-    }
-    ~RunCount()
-    {
-        --m_count;
-    }
-    RunCount(const RunCount &) = delete;
-    RunCount &operator=(const RunCount &) = delete;
-
-private:
-    std::size_t &m_count;
-};
-
 } // namespace
 
 Gate::Gate(asio::io_context &context, const Clock &clock, Incarnation incarnation, const DaemonSettings &settings)
@@ -92,7 +75,7 @@
 
 void Gate::runRequest(FrameChannel &channel, wire::ProxyRequestT request, const Yield &yield)
 {
-    const RunCount count(m_gate.running);
+    const ScopedCount count(m_gate.running);
     GateRun run(m_gate, std::move(request), channel);
     run.run(yield);
 }
--- a/packages/daemon/src/gaterun.cpp
+++ b/packages/daemon/src/gaterun.cpp
@@ -1,11 +1,15 @@
 #include "gaterun.h"
 
+#include "bodydigest.h"
+#include "httprules.h"
+
 #include "foundation/bytes.h"
 #include "foundation/errors.h"
 #include "foundation/events.h"
 
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
+
+#include <array>
 
 namespace mustardpond {
 
@@ -14,6 +18,7 @@
 constexpr Millis CHANNEL_TIMEOUT{30000};
 constexpr Millis CONNECT_TIMEOUT{1000};
 constexpr Millis CRASH_CHECK_TIMEOUT{200};
+constexpr std::array<Millis, 3> CRASH_CHECKS = {Millis(100), Millis(300), Millis(600)};
 constexpr Millis ANSWER_GRACE{60000}; ///< for the answer of an irreversible run after its deadline
 constexpr std::size_t CHUNK_BYTES = 64 * KIB;
 constexpr std::size_t SMALL_ANSWER_BYTES = 256 * KIB;
@@ -54,40 +59,29 @@
     return headers;
 }
 
-AttemptResult resultOfStatus(unsigned status)
+bool hasCrashed(GateContext &gate, const Endpoint &address, const Yield &yield)
 {
-    constexpr unsigned SERVER_ERROR = 500;
-    constexpr unsigned SERVICE_UNAVAILABLE = 503;
-    if (status == SERVICE_UNAVAILABLE) {
-        return AttemptResult::Unjudged;
+    try {
+        gate.client.open(address, true, CRASH_CHECK_TIMEOUT, yield);
+        return false;
+    } catch (const boost::system::system_error &error) {
+        return error.code() == asio::error::connection_refused;
     }
-    return status >= SERVER_ERROR ? AttemptResult::Failed : AttemptResult::Answered;
 }
 
-bool isHopByHop(const http::fields::value_type &field)
+void noteCrash(GateContext &gate, const std::string &service, std::uint64_t fingerprint)
 {
-    switch (field.name()) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::proxy_connection:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-    case http::field::content_length:
-        return true;
-    default:
-        return false;
+    const auto standing = gate.quarantine.onCrash(fingerprint, gate.clock.now());
+    if (gate.reportCrash) {
+        gate.reportCrash(fingerprint);
+    }
+    if (standing == RequestStanding::Quarantined) {
+        logEvent(Event::RequestQuarantined, {{"service", service}, {"fingerprint", fingerprint}});
     }
 }
 
 } // namespace
 
-std::uint64_t bodyDigest(const std::vector<std::uint8_t> &body)
-{
-    return XXH3_64bits(body.data(), body.size());
-}
-
 GateRun::GateRun(GateContext &gate, wire::ProxyRequestT request, FrameChannel &channel)
     : m_gate(gate)
     , m_request(std::move(request))
@@ -287,14 +281,12 @@
 
 void GateRun::relayUpload(UpstreamExchange &exchange, const Yield &yield)
 {
-    XXH3_state_t *state = XXH3_createState();
-    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> owner(state, XXH3_freeState);
-    XXH3_64bits_reset(state);
+    StreamDigest digest;
     for (bool last = false; !last;) {
         const auto chunk = m_channel.receiveFor<wire::BodyChunkT>(m_request.request, CHANNEL_TIMEOUT, yield);
-        XXH3_64bits_update(state, chunk.body.data(), chunk.body.size());
+        digest.add(chunk.body.data(), chunk.body.size());
         last = chunk.last;
-        if (last && XXH3_64bits_digest(state) != chunk.digest) {
+        if (last && digest.value() != chunk.digest) {
             throw BadFrame("an upload does not match its digest: check the link between the daemons");
         }
         exchange.sendBody(std::string(toText(chunk.body)), last, patience(), yield);
@@ -313,7 +305,7 @@
     wire::AnswerT answer = newAnswer(Outcome::Ran);
     answer.status = static_cast<std::uint16_t>(exchange.head().result_int());
     for (const auto &field : exchange.head()) {
-        if (!isHopByHop(field)) {
+        if (!isHopByHop(field.name())) {
             auto header = std::make_unique<wire::HeaderT>();
             header->name = std::string(field.name_string());
             header->value = std::string(field.value());
@@ -339,21 +331,19 @@
         m_gate.ledger.finish(*m_operation, {answer.status, encodeHeaders(answer.headers), std::string()});
         m_gate.waits.ended(*m_operation);
     }
-    XXH3_state_t *state = XXH3_createState();
-    const std::unique_ptr<XXH3_state_t, decltype(&XXH3_freeState)> owner(state, XXH3_freeState);
-    XXH3_64bits_reset(state);
-    XXH3_64bits_update(state, body.data(), body.size());
+    StreamDigest digest;
+    digest.add(body.data(), body.size());
     answer.streamed = true;
     answer.body = toBytes(body);
     m_channel.send(packMessage(std::move(answer)), CHANNEL_TIMEOUT, yield);
     for (bool more = true; more;) {
         body.clear();
         more = exchange.receiveBody(body, CHUNK_BYTES, patience(), yield);
-        XXH3_64bits_update(state, body.data(), body.size());
+        digest.add(body.data(), body.size());
         wire::BodyChunkT chunk;
         chunk.request = m_request.request;
         chunk.last = !more;
-        chunk.digest = XXH3_64bits_digest(state);
+        chunk.digest = digest.value();
         chunk.body = toBytes(body);
         m_channel.send(packMessage(std::move(chunk)), CHANNEL_TIMEOUT, yield);
     }
@@ -365,32 +355,28 @@
     loseOperation();
     wire::AnswerT answer = newAnswer(Outcome::Unknown);
     answer.detail = "the exchange with the upstream failed: " + cause;
-    if (!m_exchange->isCancelled() && hasCrashed(address, yield)) {
-        noteCrash();
+    if (m_exchange->isCancelled()) {
+        checkCrashLater(address);
+    } else if (hasCrashed(m_gate, address, yield)) {
+        noteCrash(m_gate, m_request.service, fingerprint());
         answer.reason = wire::NotRunReason::Quarantined;
     }
     finish(std::move(answer), yield);
 }
 
-bool GateRun::hasCrashed(const Endpoint &address, const Yield &yield)
-{
-    try {
-        m_gate.client.open(address, true, CRASH_CHECK_TIMEOUT, yield);
-        return false;
-    } catch (const boost::system::system_error &error) {
-        return error.code() == asio::error::connection_refused;
-    }
-}
-
-void GateRun::noteCrash()
+void GateRun::checkCrashLater(const Endpoint &address)
 {
-    const auto standing = m_gate.quarantine.onCrash(fingerprint(), m_gate.clock.now());
-    if (m_gate.reportCrash) {
-        m_gate.reportCrash(fingerprint());
-    }
-    if (standing == RequestStanding::Quarantined) {
-        logEvent(Event::RequestQuarantined, {{"service", m_request.service}, {"fingerprint", fingerprint()}});
-    }
+    // The router gave up before the upstream, which may be dying slowly, closed the connection.
+    asio::spawn(m_gate.context,
+                [&gate = m_gate, address, service = m_request.service, print = fingerprint()](const Yield &yield) {
+                    for (const Millis wait : CRASH_CHECKS) {
+                        asio::steady_timer timer(gate.context, toDuration(wait));
+                        timer.async_wait(yield);
+                        if (hasCrashed(gate, address, yield)) {
+                            return noteCrash(gate, service, print);
+                        }
+                    }
+                });
 }
 
 void GateRun::answerNotRun(NotRunReason reason, const std::string &detail, const Yield &yield)
--- a/packages/daemon/src/gaterun.h
+++ b/packages/daemon/src/gaterun.h
@@ -10,9 +10,6 @@
 
 namespace mustardpond {
 
-/// Digest of a body as it is carried between daemons.
-std::uint64_t bodyDigest(const std::vector<std::uint8_t> &body);
-
 /// Runs one request. The answer is sent on the channel, in one frame if it is small.
 class GateRun
 {
@@ -34,8 +31,7 @@
     void relayUpload(UpstreamExchange &exchange, const Yield &yield);
     void receiveAnswer(UpstreamExchange &exchange, const Yield &yield);
     void relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, const Yield &yield);
-    bool hasCrashed(const Endpoint &address, const Yield &yield);
-    void noteCrash();
+    void checkCrashLater(const Endpoint &address);
     void loseOperation();
     void recordFailure(const Endpoint &address, const std::string &cause, const Yield &yield);
 
--- /dev/null
+++ b/packages/daemon/src/operationopener.cpp
@@ -0,0 +1,65 @@
+#include "operationopener.h"
+
+#include "foundation/errors.h"
+
+namespace mustardpond {
+
+namespace {
+
+constexpr Millis EXCHANGE_TIMEOUT{500};
+constexpr Millis PAUSE{20};
+
+} // namespace
+
+std::string OperationOpener::open(const Yield &yield)
+{
+    std::set<std::string> tried;
+    while (m_shared.clock.now() < m_request.deadline) {
+        const UpstreamRef *chosen =
+            m_shared.table.choose(m_request.service, m_request.workClass, tried, m_shared.clock.now());
+        if (!chosen) {
+            tried.clear();
+            m_mustServe = true;
+            pause(yield);
+            continue;
+        }
+        const std::string gate = chosen->gate;
+        tried.insert(chosen->id);
+        std::string operation = openAt(gate, yield);
+        if (!operation.empty()) {
+            return operation;
+        }
+    }
+    return {};
+}
+
+std::string OperationOpener::openAt(const std::string &gate, const Yield &yield)
+{
+    try {
+        auto channel = m_shared.pool.take(gate, EXCHANGE_TIMEOUT, yield);
+        wire::OpenOperationT open;
+        open.request = ++m_shared.nextRequest;
+        open.service = m_request.service;
+        open.organisation = m_request.organisation;
+        open.workClass = m_request.workClass.name;
+        open.mustServe = m_mustServe;
+        const std::uint64_t number = open.request;
+        channel->send(packMessage(std::move(open)), EXCHANGE_TIMEOUT, yield);
+        auto reply = channel->receiveFor<wire::OperationOpenedT>(number, EXCHANGE_TIMEOUT, yield);
+        m_shared.pool.giveBack(gate, std::move(channel));
+        return reply.operation;
+    } catch (const boost::system::system_error &) {
+        m_shared.pool.drop(gate);
+    } catch (const BadFrame &) {
+        m_shared.pool.drop(gate);
+    }
+    return {};
+}
+
+void OperationOpener::pause(const Yield &yield)
+{
+    asio::steady_timer timer(m_shared.context, toDuration(PAUSE));
+    timer.async_wait(yield);
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/operationopener.h
@@ -0,0 +1,31 @@
+/// Opens an operation at a gate of a service, on a caller's behalf.
+#pragma once
+
+#include "dispatch.h"
+
+#include <string>
+
+namespace mustardpond {
+
+class OperationOpener
+{
+public:
+    OperationOpener(DispatchContext &shared, const CallerRequest &request)
+        : m_shared(shared)
+        , m_request(request)
+    {
+    }
+
+    /// The operation's id; empty when no gate could open one before the request's deadline.
+    std::string open(const Yield &yield);
+
+private:
+    std::string openAt(const std::string &gate, const Yield &yield);
+    void pause(const Yield &yield);
+
+    DispatchContext &m_shared;
+    const CallerRequest &m_request;
+    bool m_mustServe = false; ///< all gates were asked in vain: suspects have to serve as well
+};
+
+} // namespace mustardpond
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router.cpp
@@ -22,7 +22,7 @@
     , m_table(profileForCost(settings.lateDetectionCost), random)
     , m_pool(context, settings.bindAddress)
     , m_nextRequest(random.next())
-    , m_dispatch{context, clock, m_table, m_pool, m_metrics, m_nextRequest}
+    , m_dispatch{context, clock, m_table, m_pool, m_metrics, m_nextRequest, nullptr}
     , m_listener(std::make_shared<Listener>(context, settings.caller, [this](tcp::socket socket, const Yield &yield) {
         CallerSession session(*this, std::move(socket));
         session.run(yield);
--- /dev/null
+++ b/packages/daemon/src/scopedcount.h
@@ -0,0 +1,27 @@
+/// Counts something while it is in progress.
+#pragma once
+
+#include <cstddef>
+
+namespace mustardpond {
+
+class ScopedCount
+{
+public:
+    explicit ScopedCount(std::size_t &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~ScopedCount()
+    {
+        --m_count;
+    }
+    ScopedCount(const ScopedCount &) = delete;
+    ScopedCount &operator=(const ScopedCount &) = delete;
+
+private:
+    std::size_t &m_count;
+};
+
+} // namespace mustardpond
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -209,7 +209,7 @@
     if (m_probeOrder.empty()) {
         return {};
     }
-    const std::string key = m_probeOrder.back();
+    std::string key = m_probeOrder.back();
     m_probeOrder.pop_back();
     return key;
 }
