--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -8,8 +8,8 @@
     names=$(grep -E '^test: ' KNOWN-RED.txt | sed 's/^test: //' | paste -sd'|' || true)
     if [ -n "$names" ]; then
         exclude="^(${names})$"
-        echo "known red, not run to a verdict here:"
-        cat KNOWN-RED.txt
     fi
+    echo "known red, passed over:"
+    cat KNOWN-RED.txt
 fi
 ctest --test-dir build --output-on-failure -j 4 ${exclude:+-E "$exclude"}
