Let the callers test survive a daemon that closes first

Cause: talk() wrote under 'set -e'; the daemon rightly closes a connection whose first frame is foreign (E600, 'a frame starts with 0xe5a6'), and the write then failed with 'Broken pipe' and ended the test. Ruled out: the daemon; it logged the rejection and went on serving. Change: a failed write is no verdict; every assertion on replies, and on the service afterwards, stands.

--- a/tests/process/callers_test.sh
+++ b/tests/process/callers_test.sh
@@ -4,12 +4,12 @@
 TEST=callers BASE=19
 . "$(dirname "$0")/fixture.sh"
 startFleet sicil
-trap '' PIPE # the daemon may close before all was sent
+trap '' PIPE
 ROUTER=127.1.$NEAR.1
 
 talk() { # text port: sends it, half-closes, and prints what comes back
     exec 3<>"/dev/tcp/$ROUTER/${2:-8080}"
-    printf '%b' "$1" >&3
+    printf '%b' "$1" >&3 || true # the daemon may close before all was sent
     timeout 5 cat <&3 || true
     exec 3<&- 3>&-
 }
