Remove what stood twice or served nothing

Found by reading the whole change once more: a request's fingerprint was digested up to three times at the gate, body included; the router counted requests that its sessions know to be busy; two pings were built alike; the score that a router needs was computed in two places; an unused result and two unused parameters. Change: one digest a request, one source for what is busy, newPing(), neededScore(). No behaviour changes.

--- a/packages/daemon/src/callersession.cpp
+++ b/packages/daemon/src/callersession.cpp
@@ -8,7 +8,6 @@
 #include "httprules.h"
 #include "operationopener.h"
 #include "router.h"
-#include "scopedcount.h"
 
 #include <nlohmann/json.hpp>
 
@@ -79,7 +78,6 @@
 void CallerSession::run(const Yield &yield)
 {
     while (m_open && readHead(yield)) {
-        const ScopedCount count(m_router.inFlight());
         m_busy = true;
         handle(yield);
         m_busy = false;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -116,7 +116,7 @@
     };
     waitWhile([&] { return m_clock.now() - startedAt < LEAVE_SPREAD; });
     router->stopAccepting(yield);
-    waitWhile([&] { return router->isBusy() || gate->isBusy() || !router->isQuiet(); });
+    waitWhile([&] { return gate->isBusy() || !router->isQuiet(); });
     m_kernel.stop();
     logEvent(Event::Stopped, {{"node", m_settings.node}});
     m_context.stop();
--- a/packages/daemon/src/gaterun.cpp
+++ b/packages/daemon/src/gaterun.cpp
@@ -86,6 +86,7 @@
     : m_gate(gate)
     , m_request(std::move(request))
     , m_channel(channel)
+    , m_fingerprint(requestFingerprint(m_request.method, m_request.target, m_request.body))
     , m_arrivedAt(gate.clock.now())
 {
     m_deadline = m_arrivedAt + Millis(m_request.deadlineMs);
@@ -116,7 +117,7 @@
     if (upstream->announced.state != UpstreamState::Ready) {
         return answerNotRun(NotRunReason::Leaving, "the upstream takes no new work", yield);
     }
-    if (m_gate.quarantine.standing(fingerprint(), m_arrivedAt) == RequestStanding::Quarantined) {
+    if (m_gate.quarantine.standing(m_fingerprint, m_arrivedAt) == RequestStanding::Quarantined) {
         return answerNotRun(NotRunReason::Quarantined, "this request crashed upstreams before", yield);
     }
     UpstreamJudge &judge = m_gate.judgeOf(upstream->announced.id);
@@ -212,7 +213,7 @@
         }
         exchange(*m_exchange, yield);
         judge.onFinish(number, m_result, m_gate.clock.now() - m_startedAt, m_gate.clock.now());
-        m_gate.quarantine.onSurvived(fingerprint(), m_gate.clock.now());
+        m_gate.quarantine.onSurvived(m_fingerprint, m_gate.clock.now());
         m_gate.client.giveBack(address, *m_exchange);
         return;
     } catch (const boost::system::system_error &error) {
@@ -358,7 +359,7 @@
     if (m_exchange->isCancelled()) {
         checkCrashLater(address);
     } else if (hasCrashed(m_gate, address, yield)) {
-        noteCrash(m_gate, m_request.service, fingerprint());
+        noteCrash(m_gate, m_request.service, m_fingerprint);
         answer.reason = wire::NotRunReason::Quarantined;
     }
     finish(std::move(answer), yield);
@@ -368,7 +369,7 @@
 {
     // The router gave up before the upstream, which may be dying slowly, closed the connection.
     asio::spawn(m_gate.context,
-                [&gate = m_gate, address, service = m_request.service, print = fingerprint()](const Yield &yield) {
+                [&gate = m_gate, address, service = m_request.service, print = m_fingerprint](const Yield &yield) {
                     for (const Millis wait : CRASH_CHECKS) {
                         asio::steady_timer timer(gate.context, toDuration(wait));
                         timer.async_wait(yield);
@@ -430,12 +431,7 @@
 
 OperationBinding GateRun::binding() const
 {
-    return {m_request.service, m_request.organisation, fingerprint()};
-}
-
-std::uint64_t GateRun::fingerprint() const
-{
-    return requestFingerprint(m_request.method, m_request.target, m_request.body);
+    return {m_request.service, m_request.organisation, m_fingerprint};
 }
 
 Millis GateRun::remaining() const
--- a/packages/daemon/src/gaterun.h
+++ b/packages/daemon/src/gaterun.h
@@ -50,7 +50,6 @@
         return m_request.kind == wire::WorkKind::Irreversible;
     }
     OperationBinding binding() const;
-    std::uint64_t fingerprint() const;
     Millis remaining() const;
     Millis patience() const;
     void watchCaller(const std::shared_ptr<UpstreamExchange> &exchange);
@@ -61,6 +60,7 @@
     std::optional<OperationId> m_operation;
     std::shared_ptr<UpstreamExchange> m_exchange;
     http::request<http::buffer_body> m_upstreamRequest;
+    std::uint64_t m_fingerprint;
     Millis m_deadline;
     Millis m_arrivedAt;
     Millis m_startedAt;
--- a/packages/daemon/src/router.h
+++ b/packages/daemon/src/router.h
@@ -55,10 +55,6 @@
     {
         m_sessions.erase(session);
     }
-    bool isBusy() const
-    {
-        return m_inFlight > 0;
-    }
 
     const DaemonSettings &settings() const
     {
@@ -96,10 +92,6 @@
     {
         return m_dispatch;
     }
-    std::size_t &inFlight()
-    {
-        return m_inFlight;
-    }
     /// Waits until configuration is known, at most until the time given. False when it is not.
     bool awaitConfiguration(Millis atMost, const Yield &yield);
     /// Reports that a request was held because all upstreams were full.
@@ -121,7 +113,6 @@
     std::shared_ptr<Listener> m_listener;
     SaturationHandler m_onSaturation;
     std::set<const CallerSession *> m_sessions;
-    std::size_t m_inFlight = 0;
     bool m_leaving = false;
     bool m_stopped = false;
 };
--- a/packages/decision/include/decision/sequentialdetector.h
+++ b/packages/decision/include/decision/sequentialdetector.h
@@ -75,12 +75,13 @@
     std::vector<Suspect> findSuspects(Millis now);
     bool hasSharedCause(const std::string &workClass, const std::vector<Suspect> &suspects, Millis now) const;
     void releaseShared(const std::string &workClass, Millis now);
+    double neededScore() const;
     double scoreOf(const std::string &upstream, const std::string &workClass, const Track &track, Millis now) const;
     void judge(const std::string &upstream, const std::string &workClass, bool bad, Millis now);
     void judgeRunning(Millis now);
     void endHolds(Millis now);
     void ejectWorst(Millis now);
-    bool eject(const std::string &name, const std::string &workClass, Track &track, Millis now);
+    void eject(const std::string &name, const std::string &workClass, Track &track, Millis now);
     bool floorAllows(const std::string &upstream, const std::string &workClass) const;
     bool isEjected(const Upstream &upstream, const std::string &workClass) const;
     double weightOf(const Track &track, Millis now) const;
--- a/packages/decision/src/sequentialdetector.cpp
+++ b/packages/decision/src/sequentialdetector.cpp
@@ -176,14 +176,18 @@
     }
 }
 
+double SequentialDetector::neededScore() const
+{
+    return m_profile.ejectScore + ROUTER_CAUTION;
+}
+
 double SequentialDetector::scoreOf(const std::string &upstream, const std::string &workClass, const Track &track,
                                    Millis now) const
 {
     const auto baseline = m_baselines.find(workClass);
     const double peers = baseline == m_baselines.end() ? 0 : baseline->second.peerBadShare(upstream, now);
     const double own = track.test.score(peers) * (track.returning ? 1 / RETURN_SCORE_SHARE : 1);
-    const double needed = m_profile.ejectScore + ROUTER_CAUTION;
-    return track.suspectedByGate ? std::max(own, needed) : own;
+    return track.suspectedByGate ? std::max(own, neededScore()) : own;
 }
 
 std::vector<SequentialDetector::Suspect> SequentialDetector::findSuspects(Millis now)
@@ -192,7 +196,7 @@
     for (auto &[name, upstream] : m_upstreams) {
         for (auto &[workClass, track] : upstream.tracks) {
             const double score = scoreOf(name, workClass, track, now);
-            if (!track.ejected && score >= m_profile.ejectScore + ROUTER_CAUTION) {
+            if (!track.ejected && score >= neededScore()) {
                 suspects.push_back({score, name, workClass, &track});
             } else {
                 track.heldByFloor = track.heldByFloor && !track.ejected && score > 0;
@@ -251,7 +255,7 @@
     }
 }
 
-bool SequentialDetector::eject(const std::string &name, const std::string &workClass, Track &track, Millis now)
+void SequentialDetector::eject(const std::string &name, const std::string &workClass, Track &track, Millis now)
 {
     if (!floorAllows(name, workClass)) {
         if (!track.heldByFloor) {
@@ -259,7 +263,7 @@
                 {HealthChangeKind::HeldByFloor, name, workClass, scoreOf(name, workClass, track, now), Millis()});
         }
         track.heldByFloor = true;
-        return false;
+        return;
     }
     const double growth = std::pow(2.0, std::min(track.recentEjections, 10));
     const Millis hold(std::min(m_profile.firstHold.value * growth, m_profile.longestHold.value));
@@ -269,7 +273,6 @@
     track.heldByFloor = false;
     track.ejectedUntil = now + hold;
     ++track.recentEjections;
-    return true;
 }
 
 bool SequentialDetector::floorAllows(const std::string &upstream, const std::string &workClass) const
@@ -315,8 +318,7 @@
         return 0;
     }
     const double ramp = (now - track.returnedAt) / m_profile.slowStart;
-    const double returning = std::clamp(ramp, RETURN_WEIGHT, 1.0);
-    return returning;
+    return std::clamp(ramp, RETURN_WEIGHT, 1.0);
 }
 
 } // namespace mustardpond
--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -100,8 +100,8 @@
     std::string nextToProbe();
     std::vector<std::string> helpersFor(const Member &target);
     void followProbe(Millis now, std::vector<OutgoingGossip> &out);
-    void spread(Millis now, std::vector<OutgoingGossip> &out);
-    void compare(Millis now, std::vector<OutgoingGossip> &out);
+    void spread(std::vector<OutgoingGossip> &out);
+    void compare(std::vector<OutgoingGossip> &out);
     std::string peerAddress();
     std::string lostAddress();
     void askSeeds(std::vector<OutgoingGossip> &out);
@@ -110,6 +110,8 @@
     void takeAck(const wire::AckT &ack, std::vector<OutgoingGossip> &out);
     void compareDigests(const wire::GossipT &message, std::vector<OutgoingGossip> &out);
     wire::GossipT newMessage() const;
+    /// A ping of the member that is being probed.
+    wire::GossipT newPing() const;
     void attachRumours(wire::GossipT &message);
     std::vector<std::string> peers(bool sameDataCentre) const;
     std::vector<std::string> randomPeers(std::vector<std::string> pool, std::size_t count);
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -76,11 +76,11 @@
     }
     if (now >= m_nextRumour) {
         m_nextRumour = now + m_times.rumourPeriod;
-        spread(now, out);
+        spread(out);
     }
     if (now >= m_nextCompare) {
         m_nextCompare = now + m_times.comparePeriod * (0.5 + m_random.unit());
-        compare(now, out);
+        compare(out);
     }
     return out;
 }
@@ -184,11 +184,7 @@
         return;
     }
     m_probe = Probe{m_nextNumber++, key, now, false};
-    wire::GossipT message = newMessage();
-    message.ping = std::make_unique<wire::PingT>();
-    message.ping->number = m_probe->number;
-    message.ping->from = m_self.inner;
-    message.ping->target = key;
+    wire::GossipT message = newPing();
     attachRumours(message);
     out.push_back({target->second.member.inner, std::move(message)});
 }
@@ -241,12 +237,8 @@
             if (key == m_probe->key) {
                 continue;
             }
-            wire::GossipT message = newMessage();
-            message.ping = std::make_unique<wire::PingT>();
-            message.ping->number = m_probe->number;
-            message.ping->from = m_self.inner;
+            wire::GossipT message = newPing();
             message.ping->onBehalfOf = m_self.inner;
-            message.ping->target = m_probe->key;
             out.push_back({m_known[key].member.inner, std::move(message)});
         }
     }
@@ -308,7 +300,7 @@
     m_probe.reset();
 }
 
-void Membership::spread(Millis /*now*/, std::vector<OutgoingGossip> &out)
+void Membership::spread(std::vector<OutgoingGossip> &out)
 {
     if (m_memberRumours.empty() && m_objectRumours.empty()) {
         return;
@@ -327,7 +319,7 @@
     }
 }
 
-void Membership::compare(Millis /*now*/, std::vector<OutgoingGossip> &out)
+void Membership::compare(std::vector<OutgoingGossip> &out)
 {
     const std::string address = m_random.below(REMOTE_EVERY) == 0 ? lostAddress() : peerAddress();
     if (address.empty()) {
@@ -432,6 +424,16 @@
     return message;
 }
 
+wire::GossipT Membership::newPing() const
+{
+    wire::GossipT message = newMessage();
+    message.ping = std::make_unique<wire::PingT>();
+    message.ping->number = m_probe->number;
+    message.ping->from = m_self.inner;
+    message.ping->target = m_probe->key;
+    return message;
+}
+
 void Membership::attachRumours(wire::GossipT &message)
 {
     for (const std::string &key : m_memberRumours.take(RUMOURS_PER_MESSAGE, SENDINGS)) {
