--- a/packages/daemon/src/callersession.cpp
+++ b/packages/daemon/src/callersession.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace mustardpond {
 
@@ -53,6 +54,22 @@
     }
 }
 
+struct Opening {
+    std::string path;
+    std::string method;
+};
+
+/// Reads the request that an operation is opened for. Returns nothing if it is malformed.
+std::optional<Opening> parseOpening(const std::vector<std::uint8_t> &body)
+{
+    try {
+        const auto document = nlohmann::json::parse(body.begin(), body.end());
+        return Opening{document.at("path").get<std::string>(), document.value("method", "POST")};
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
 } // namespace
 
 CallerSession::CallerSession(Router &router, tcp::socket socket)
@@ -154,13 +171,8 @@
     if (!readBody(request, yield)) {
         return;
     }
-    std::string path;
-    std::string method;
-    try {
-        const auto document = nlohmann::json::parse(request.body.begin(), request.body.end());
-        path = document.at("path").get<std::string>();
-        method = document.value("method", "POST");
-    } catch (const nlohmann::json::exception &) {
+    const auto asked = parseOpening(request.body);
+    if (!asked) {
         return replyProblem(http::status::bad_request,
                             R"(send a JSON object such as {"path": "/muhur/seals", "method": "POST"})", yield);
     }
@@ -168,9 +180,9 @@
         return replyProblem(http::status::service_unavailable, "no configuration has been received yet", yield);
     }
     const auto config = m_router.view().config;
-    const RoutedWork work = config->route(path, method);
+    const RoutedWork work = config->route(asked->path, asked->method);
     if (!work.service) {
-        return replyProblem(http::status::not_found, "no route for " + method + " " + path, yield);
+        return replyProblem(http::status::not_found, "no route for " + asked->method + " " + asked->path, yield);
     }
     request.service = work.service->name;
     request.workClass = *work.workClass;
@@ -277,21 +289,25 @@
     const std::size_t limit = m_router.settings().limits.bufferedBodyBytes;
     CallerBody body = bodyReader();
     std::vector<std::uint8_t> piece;
+    ErrorCode failure;
     try {
         while (!m_parser->is_done() && request.body.size() < limit) {
             body.next(piece, yield);
             request.body.insert(request.body.end(), piece.begin(), piece.end());
         }
     } catch (const boost::system::system_error &error) {
-        m_open = false;
-        const bool slow = error.code() == beast::error::timeout;
-        replyProblem(slow ? http::status::request_timeout : http::status::bad_request,
-                     slow ? "the body did not arrive in time: send it faster"
-                          : "the body is incomplete (" + error.code().message() + "): send it whole",
-                     yield);
-        return false;
+        failure = error.code();
     }
-    return true;
+    if (!failure) {
+        return true;
+    }
+    m_open = false;
+    const bool slow = failure == beast::error::timeout;
+    replyProblem(slow ? http::status::request_timeout : http::status::bad_request,
+                 slow ? "the body did not arrive in time: send it faster"
+                      : "the body is incomplete (" + failure.message() + "): send it whole",
+                 yield);
+    return false;
 }
 
 void CallerSession::takeHeaders(CallerRequest &request) const
--- a/packages/daemon/src/gaterun.cpp
+++ b/packages/daemon/src/gaterun.cpp
@@ -18,6 +18,7 @@
 constexpr Millis CHANNEL_TIMEOUT{30000};
 constexpr Millis CONNECT_TIMEOUT{1000};
 constexpr Millis CRASH_CHECK_TIMEOUT{200};
+constexpr Millis CRASH_RECHECK{20}; ///< a dying upstream may close its connections before its listener
 constexpr std::array<Millis, 3> CRASH_CHECKS = {Millis(100), Millis(300), Millis(600)};
 constexpr Millis ANSWER_GRACE{60000}; ///< for the answer of an irreversible run after its deadline
 constexpr std::size_t CHUNK_BYTES = 64 * KIB;
@@ -69,6 +70,16 @@
     }
 }
 
+bool hasJustCrashed(GateContext &gate, const Endpoint &address, const Yield &yield)
+{
+    if (hasCrashed(gate, address, yield)) {
+        return true;
+    }
+    asio::steady_timer timer(gate.context, toDuration(CRASH_RECHECK));
+    timer.async_wait(yield);
+    return hasCrashed(gate, address, yield);
+}
+
 void noteCrash(GateContext &gate, const std::string &service, std::uint64_t fingerprint)
 {
     const auto standing = gate.quarantine.onCrash(fingerprint, gate.clock.now());
@@ -193,20 +204,23 @@
 {
     const Endpoint address = upstream.announced.address;
     m_startedAt = m_gate.clock.now();
+    std::string failure;
     try {
         m_exchange = openUpstream(upstream, yield);
     } catch (const boost::system::system_error &error) {
+        failure = error.what();
+    }
+    if (!m_exchange) {
         m_gate.client.drop(address);
         if (isOperation()) {
             m_gate.ledger.release(*m_operation);
             m_gate.waits.ended(*m_operation);
         }
-        return answerNotRun(NotRunReason::Unreachable, error.what(), yield);
+        return answerNotRun(NotRunReason::Unreachable, failure, yield);
     }
     UpstreamJudge &judge = m_gate.judgeOf(m_servedBy);
     const std::uint64_t number = ++m_gate.nextRun;
     judge.onStart(number, m_request.workClass, m_startedAt);
-    std::string failure;
     try {
         if (!isIrreversible()) {
             watchCaller(m_exchange);
@@ -218,6 +232,7 @@
         return;
     } catch (const boost::system::system_error &error) {
         failure = error.what();
+        m_connectionLost = error.code() != beast::error::timeout;
     } catch (const Exception &) {
         judge.onFinish(number, AttemptResult::Unjudged, Millis(), m_gate.clock.now());
         loseOperation();
@@ -356,18 +371,18 @@
     loseOperation();
     wire::AnswerT answer = newAnswer(Outcome::Unknown);
     answer.detail = "the exchange with the upstream failed: " + cause;
-    if (m_exchange->isCancelled()) {
-        checkCrashLater(address);
-    } else if (hasCrashed(m_gate, address, yield)) {
+    if (!m_exchange->isCancelled() && m_connectionLost && hasJustCrashed(m_gate, address, yield)) {
         noteCrash(m_gate, m_request.service, m_fingerprint);
         answer.reason = wire::NotRunReason::Quarantined;
+    } else if (m_exchange->isCancelled() || m_connectionLost) {
+        checkCrashLater(address);
     }
     finish(std::move(answer), yield);
 }
 
 void GateRun::checkCrashLater(const Endpoint &address)
 {
-    // The router gave up before the upstream, which may be dying slowly, closed the connection.
+    // The upstream may be dying slowly, and the router may have given up before the connection closed.
     asio::spawn(m_gate.context,
                 [&gate = m_gate, address, service = m_request.service, print = m_fingerprint](const Yield &yield) {
                     for (const Millis wait : CRASH_CHECKS) {
--- a/packages/daemon/src/gaterun.h
+++ b/packages/daemon/src/gaterun.h
@@ -64,6 +64,7 @@
     Millis m_deadline;
     Millis m_arrivedAt;
     Millis m_startedAt;
+    bool m_connectionLost = false; ///< the exchange failed, and not by a timeout
     AttemptResult m_result = AttemptResult::Unjudged;
     std::string m_servedBy;
 };
--- a/packages/decision/bench/detection_main.cpp
+++ b/packages/decision/bench/detection_main.cpp
@@ -10,10 +10,11 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
 #include <fstream>
 #include <future>
 #include <iostream>
-#include <set>
+#include <string_view>
 
 using namespace mustardpond;
 using namespace mustardpond::bench;
@@ -64,17 +65,44 @@
     std::uint64_t retries = 0;
 };
 
-Figures measure(const Arm &arm, FaultKind fault, std::uint64_t seeds, double rate)
+struct Options {
+    std::uint64_t seeds = 20;
+    double rate = 600;
+    std::string output;
+    std::vector<std::string> faults; ///< all if empty
+    std::vector<std::string> arms; ///< all if empty
+    bool showChanges = false;
+};
+
+bool isWanted(const std::vector<std::string> &wanted, std::string_view name)
+{
+    return wanted.empty() || std::find(wanted.begin(), wanted.end(), name) != wanted.end();
+}
+
+void printChange(std::uint64_t seed, Millis at, std::size_t router, const HealthChange &change)
+{
+    static constexpr std::array<const char *, 4> KINDS = {"ejected", "returned", "held-by-floor", "shared-cause"};
+    std::cout << fmt::format("seed {} at {:.0f} ms: router {} {} upstream {} class {} score {:.1f}\n", seed, at.value,
+                             router, KINDS.at(static_cast<std::size_t>(change.kind)), change.upstream, change.workClass,
+                             change.score);
+}
+
+Figures measure(const Arm &arm, FaultKind fault, const Options &options)
 {
     Figures figures;
     figures.arm = arm.name;
     figures.fault = fault;
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    for (std::uint64_t seed = 1; seed <= options.seeds; ++seed) {
         TracePlan plan;
         plan.fault = fault;
         plan.seed = seed;
-        plan.requestsPerSecond = rate;
+        plan.requestsPerSecond = options.rate;
         plan.gateProfile = arm.gateProfile;
+        if (options.showChanges) {
+            plan.onChange = [seed](Millis at, std::size_t router, const HealthChange &change) {
+                printChange(seed, at, router, change);
+            };
+        }
         const TraceResult result = runTrace(plan, arm.factory);
         figures.detection.insert(figures.detection.end(), result.detectionMs.begin(), result.detectionMs.end());
         figures.falseEjections += result.falseEjections;
@@ -119,18 +147,21 @@
 int main(int argc, char **argv)
 {
     CLI::App app("detection time and false ejections per fault and policy");
-    std::uint64_t seeds = 20;
-    double rate = 600;
-    std::string output;
-    app.add_option("--seeds", seeds);
-    app.add_option("--rate", rate, "requests a second of the service");
-    app.add_option("--json", output, "file for the figures");
+    Options options;
+    app.add_option("--seeds", options.seeds);
+    app.add_option("--rate", options.rate, "requests a second of the service");
+    app.add_option("--json", options.output, "file for the figures");
+    app.add_option("--fault", options.faults, "only this fault; may be repeated");
+    app.add_option("--arm", options.arms, "only this arm; may be repeated");
+    app.add_flag("--changes", options.showChanges, "print each change of health; best with one fault and one arm");
     CLI11_PARSE(app, argc, argv);
     const std::vector<Arm> arms = allArms();
     std::vector<std::future<Figures>> pending;
     for (const auto &fault : FAULT_KIND_NAMES) {
         for (const Arm &arm : arms) {
-            pending.push_back(std::async(std::launch::async, measure, arm, fault.value, seeds, rate));
+            if (isWanted(options.faults, fault.name) && isWanted(options.arms, arm.name)) {
+                pending.push_back(std::async(std::launch::async, measure, arm, fault.value, options));
+            }
         }
     }
     std::cout << fmt::format("{:<14} {:<13} {:>9} {:>9} {:>10} {:>9} {:>8} {:>8}\n", "fault", "arm", "p50 ms", "p99 ms",
@@ -140,8 +171,9 @@
         rows.push_back(toJson(figures.get()));
         printRow(rows.back());
     }
-    if (!output.empty()) {
-        std::ofstream(output) << nlohmann::json({{"seeds", seeds}, {"rate", rate}, {"rows", rows}}).dump(1) << "\n";
+    if (!options.output.empty()) {
+        const nlohmann::json document = {{"seeds", options.seeds}, {"rate", options.rate}, {"rows", rows}};
+        std::ofstream(options.output) << document.dump(1) << "\n";
     }
     return 0;
 }
--- a/packages/decision/bench/servicetrace.cpp
+++ b/packages/decision/bench/servicetrace.cpp
@@ -342,8 +342,12 @@
                 upstream.judge->tick(m_now);
             }
         }
-        for (Router &router : m_routers) {
+        for (std::size_t index = 0; index < m_routers.size(); ++index) {
+            Router &router = m_routers[index];
             for (const HealthChange &change : router.detector->tick(m_now)) {
+                if (m_plan.onChange) {
+                    m_plan.onChange(m_now, index, change);
+                }
                 if (change.kind == HealthChangeKind::Ejected && !isExpected(std::stoul(change.upstream))) {
                     m_result.falseEjections += 1.0 / static_cast<double>(m_plan.routers);
                 }
--- a/packages/decision/bench/servicetrace.h
+++ b/packages/decision/bench/servicetrace.h
@@ -53,6 +53,8 @@
     Millis faultEnd{16000};
     Millis end{20000};
     std::optional<DetectionProfile> gateProfile; ///< of the gates' own judgement; none without gates that judge
+    /// Called with each change of health that a router decides; may be empty.
+    std::function<void(Millis at, std::size_t router, const HealthChange &change)> onChange;
 };
 
 /// Makes a router's detector. The oracle tells whether an upstream answers probes.
--- a/packages/testing/src/upstream_main.cpp
+++ b/packages/testing/src/upstream_main.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::chrono::milliseconds ANNOUNCE_PERIOD{1000};
 constexpr Millis ANNOUNCE_TIMEOUT{800};
+constexpr Millis LATE_CRASH{10}; ///< from the end of the connection to that of the process
 
 struct Options {
     std::string id;
@@ -92,9 +93,7 @@
     {
         const std::string mark(request["Mark"]);
         ++m_runs[mark];
-        if (beast::string_view(request["Poison"]) == "crash") {
-            std::raise(SIGKILL);
-        }
+        crashIfPoisoned(request, socket, yield);
         const bool faulty = m_fault.onPath.empty() || target.path.find(m_fault.onPath) != std::string::npos;
         double time = m_options.serviceMs * (0.5 + m_random.unit());
         time += faulty ? m_fault.extraMs : 0;
@@ -122,6 +121,18 @@
         return response;
     }
 
+    void crashIfPoisoned(const Request &request, tcp::socket &socket, const Yield &yield)
+    {
+        const beast::string_view poison = request["Poison"];
+        if (poison == "late-crash") {
+            socket.close();
+            sleepFor(m_context, LATE_CRASH, yield);
+        }
+        if (!poison.empty()) {
+            std::raise(SIGKILL);
+        }
+    }
+
     [[noreturn]] static void truncate(Response &response, tcp::socket &socket, const Yield &yield)
     {
         response.prepare_payload();
--- a/tests/process/refusal_test.sh
+++ b/tests/process/refusal_test.sh
@@ -1,10 +1,8 @@
 #!/usr/bin/env bash
 # Callers are refused only under a refusal that its own director has approved, until it ends, also while the platform
 # is out.
-TEST=refusal BASE=22
+TEST=refusal BASE=12
 . "$(dirname "$0")/fixture.sh"
-FAR=32
-HOSTS=("$NEAR 1" "$NEAR 2" "$FAR 1")
 startFleet sicil
 
 status() { curl -s -o /dev/null -w '%{http_code}' -H 'Mark: r' "http://127.1.$NEAR.1:8080/sicil/records/r"; }
--- a/tests/process/upload_test.sh
+++ b/tests/process/upload_test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Large uploads stream through with bounded memory: one of 50 MB, then 40 of 5 MB at once; each arrives with the digest
 # that its caller sent.
-TEST=upload BASE=23
+TEST=upload BASE=51
 . "$(dirname "$0")/fixture.sh"
 startFleet kanit
 BIG='{"kind":"upload","path":"/kanit/files","bytes":50000000}'
