--- a/packages/daemon/src/dispatch.cpp
+++ b/packages/daemon/src/dispatch.cpp
@@ -2,8 +2,10 @@
 
 #include "bodydigest.h"
 #include "httprules.h"
+#include "silencewatch.h"
 
 #include "foundation/errors.h"
+#include "foundation/events.h"
 
 #include <algorithm>
 
@@ -17,6 +19,7 @@
 constexpr Millis OPERATION_PAUSE{50};
 constexpr Millis CLOSE_TIMEOUT{200};
 constexpr Millis LEAST_ATTEMPT{300};
+constexpr double SILENCE_SHARE = 0.9; ///< of the latency target; then a reused connection is doubted
 constexpr double ATTEMPT_TARGETS = 4; ///< latency targets that one idempotent attempt may take
 
 AttemptResult resultOf(const wire::AnswerT &answer)
@@ -129,6 +132,7 @@
     if (!id) {
         return settleNotRun(NotRunReason::Mismatch, "the operation id is malformed; open an operation first");
     }
+    m_shared.table.retryBudget(m_request.service).onFirstTry();
     bool fresh = false;
     std::string gate;
     while (remaining() > Millis()) {
@@ -191,6 +195,20 @@
 }
 
 Dispatch::Attempt Dispatch::attemptAt(const UpstreamRef &ref, bool freshChannel, const Yield &yield)
+{
+    Attempt attempt = attemptOnce(ref, freshChannel, yield);
+    if (!attempt.silent) {
+        return attempt;
+    }
+    // Something between the two ends may have lost track of the open connections; a new one tells.
+    logEvent(Event::ConnectionSilent, {{"gate", ref.gate}});
+    m_maybeRan = true;
+    m_result.retried = true;
+    m_shared.metrics.addRetry(m_request.service);
+    return attemptOnce(ref, true, yield);
+}
+
+Dispatch::Attempt Dispatch::attemptOnce(const UpstreamRef &ref, bool freshChannel, const Yield &yield)
 {
     Attempt attempt;
     AttemptStart start;
@@ -217,7 +235,7 @@
     } catch (const boost::system::system_error &) {
         attempt.failed = true;
         m_shared.pool.drop(ref.gate);
-    } catch (const BadFrame &) {
+    } catch (const Exception &) {
         attempt.failed = true;
         m_shared.pool.drop(ref.gate);
     }
@@ -239,7 +257,7 @@
             return;
         }
     }
-    auto answer = channel.receiveFor<wire::AnswerT>(number, attemptTimeout(), yield);
+    auto answer = receiveAnswer(channel, number, attempt, yield);
     if (!answer.streamed && bodyDigest(answer.body) != answer.digest) {
         throw BadFrame("an answer's body does not match its digest: check the link between the daemons");
     }
@@ -249,6 +267,28 @@
     }
 }
 
+wire::AnswerT Dispatch::receiveAnswer(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield)
+{
+    if (!mayMove(channel)) {
+        return channel.receiveFor<wire::AnswerT>(number, attemptTimeout(), yield);
+    }
+    const Millis limit = m_request.workClass.latencyTarget * SILENCE_SHARE;
+    const SilenceWatch watch(m_shared.context, limit, [this, &channel, &attempt] {
+        attempt.silent = m_shared.table.retryBudget(m_request.service).takeRetry();
+        if (attempt.silent) {
+            channel.close();
+        }
+        return attempt.silent;
+    });
+    return channel.receiveFor<wire::AnswerT>(number, attemptTimeout(), yield);
+}
+
+bool Dispatch::mayMove(const FrameChannel &channel) const
+{
+    const bool repeatable = m_request.workClass.kind != WorkKind::Irreversible || !m_request.operation.empty();
+    return channel.isReused() && repeatable && !m_request.source && !isSuspect();
+}
+
 void Dispatch::sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield)
 {
     wire::FrameT first = channel.receive(attemptTimeout(), yield);
@@ -290,7 +330,7 @@
         result = resultOf(attempt.answer);
         serviceTime = Millis(attempt.answer.upstreamMs);
     } else if (attempt.reached) {
-        result = m_request.source ? AttemptResult::Unjudged : AttemptResult::TimedOut;
+        result = m_request.source || attempt.silent ? AttemptResult::Unjudged : AttemptResult::TimedOut;
     }
     const Millis network = elapsed - serviceTime - Millis(attempt.answer.queuedMs);
     m_shared.table.onFinish(m_request.service, start, result, serviceTime, network, now);
@@ -318,7 +358,7 @@
     for (const auto &header : m_request.headers) {
         message.headers.push_back(std::make_unique<wire::HeaderT>(*header));
     }
-    message.deadlineMs = remaining().value;
+    message.deadlineMs = std::max(0.0, remaining().value);
     const Millis now = m_shared.clock.now();
     const Normality normality = m_shared.table.normality(m_request.service, ref.id, m_request.workClass, now);
     message.badAboveMs = normality.badAbove.value;
--- a/packages/daemon/src/dispatch.h
+++ b/packages/daemon/src/dispatch.h
@@ -74,12 +74,16 @@
         wire::AnswerT answer;
         bool reached = false; ///< bytes of the request were handed to the gate
         bool failed = false; ///< no answer came
+        bool silent = false; ///< no answer began on a reused connection, which was given up
     };
 
     void runFreely(const Yield &yield);
     void runOperation(const Yield &yield);
     bool settle(Attempt attempt, const UpstreamRef &ref);
     Attempt attemptAt(const UpstreamRef &ref, bool freshChannel, const Yield &yield);
+    Attempt attemptOnce(const UpstreamRef &ref, bool freshChannel, const Yield &yield);
+    wire::AnswerT receiveAnswer(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield);
+    bool mayMove(const FrameChannel &channel) const;
     void exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield);
     void sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield);
     void noteFinish(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt, Millis startedAt);
--- a/packages/daemon/src/framechannel.cpp
+++ b/packages/daemon/src/framechannel.cpp
@@ -28,6 +28,7 @@
     m_body.resize(bodyLength(header));
     asio::async_read(m_stream, asio::buffer(m_body), yield);
     m_stream.expires_never();
+    m_reused = true;
     return parseFrame(m_body);
 }
 
--- a/packages/daemon/src/framechannel.h
+++ b/packages/daemon/src/framechannel.h
@@ -25,6 +25,11 @@
     {
         return m_stream.socket();
     }
+    /// Whether a frame has come in before, so that the connection is not new.
+    bool isReused() const
+    {
+        return m_reused;
+    }
     /// Whether the peer has closed an idle channel, or has sent bytes out of turn.
     bool isStale();
     void close();
@@ -32,6 +37,7 @@
 private:
     beast::tcp_stream m_stream;
     std::string m_body;
+    bool m_reused = false;
 };
 
 /// Throws BadFrame: the frame is not one that the receiver can take now.
--- a/packages/daemon/src/gatecontext.h
+++ b/packages/daemon/src/gatecontext.h
@@ -3,6 +3,7 @@
 
 #include "decision/ledger.h"
 #include "decision/quarantine.h"
+#include "decision/retrybudget.h"
 #include "decision/upstreamjudge.h"
 #include "operationwaits.h"
 #include "slotturns.h"
@@ -45,6 +46,7 @@
     Quarantine quarantine;
     DetectionProfile profile;
     std::map<std::string, UpstreamJudge> judges; ///< by upstream
+    RetryBudget resends; ///< of requests whose connection to an upstream went silent
     std::uint64_t nextRun = 0;
     std::function<void(std::uint64_t)> reportCrash; ///< tells the other daemons
     bool leaving = false;
--- a/packages/daemon/src/gaterun.cpp
+++ b/packages/daemon/src/gaterun.cpp
@@ -2,6 +2,7 @@
 
 #include "bodydigest.h"
 #include "httprules.h"
+#include "silencewatch.h"
 
 #include "foundation/bytes.h"
 #include "foundation/errors.h"
@@ -21,6 +22,7 @@
 constexpr Millis CRASH_RECHECK{20}; ///< a dying upstream may close its connections before its listener
 constexpr std::array<Millis, 3> CRASH_CHECKS = {Millis(100), Millis(300), Millis(600)};
 constexpr Millis ANSWER_GRACE{60000}; ///< for the answer of an irreversible run after its deadline
+constexpr double SILENCE_SHARE = 0.9; ///< of the service time that counts as bad; then a reused connection is doubted
 constexpr std::size_t CHUNK_BYTES = 64 * KIB;
 constexpr std::size_t SMALL_ANSWER_BYTES = 256 * KIB;
 constexpr std::size_t RECORDED_BODY_BYTES = 64 * KIB;
@@ -206,7 +208,7 @@
     m_startedAt = m_gate.clock.now();
     std::string failure;
     try {
-        m_exchange = openUpstream(upstream, yield);
+        m_exchange = openUpstream(upstream, isIrreversible(), yield);
     } catch (const boost::system::system_error &error) {
         failure = error.what();
     }
@@ -221,11 +223,9 @@
     UpstreamJudge &judge = m_gate.judgeOf(m_servedBy);
     const std::uint64_t number = ++m_gate.nextRun;
     judge.onStart(number, m_request.workClass, m_startedAt);
+    m_gate.resends.onFirstTry();
     try {
-        if (!isIrreversible()) {
-            watchCaller(m_exchange);
-        }
-        exchange(*m_exchange, yield);
+        exchange(upstream, number, yield);
         judge.onFinish(number, m_result, m_gate.clock.now() - m_startedAt, m_gate.clock.now());
         m_gate.quarantine.onSurvived(m_fingerprint, m_gate.clock.now());
         m_gate.client.giveBack(address, *m_exchange);
@@ -251,14 +251,64 @@
     }
 }
 
-std::unique_ptr<UpstreamExchange> GateRun::openUpstream(LocalUpstream &upstream, const Yield &yield)
+std::unique_ptr<UpstreamExchange> GateRun::openUpstream(LocalUpstream &upstream, bool fresh, const Yield &yield)
 {
     const Millis timeout(std::min(CONNECT_TIMEOUT.value, std::max(1.0, remaining().value)));
-    return m_gate.client.open(upstream.announced.address, isIrreversible(), timeout, yield);
+    return m_gate.client.open(upstream.announced.address, fresh, timeout, yield);
 }
 
-void GateRun::exchange(UpstreamExchange &exchange, const Yield &yield)
+void GateRun::exchange(LocalUpstream &upstream, std::uint64_t number, const Yield &yield)
 {
+    if (!mayMove()) {
+        return exchangeOnce(*m_exchange, yield);
+    }
+    if (exchangeUnlessSilent(yield)) {
+        return;
+    }
+    // Something between the two ends may have lost track of the open connections; a new one tells.
+    logEvent(Event::ConnectionSilent, {{"upstream", m_servedBy}});
+    m_gate.client.drop(upstream.announced.address);
+    m_exchange = openUpstream(upstream, true, yield);
+    m_startedAt = m_gate.clock.now();
+    m_gate.judgeOf(m_servedBy).onStart(number, m_request.workClass, m_startedAt);
+    exchangeOnce(*m_exchange, yield);
+}
+
+bool GateRun::mayMove() const
+{
+    const bool isClear = m_gate.quarantine.standing(m_fingerprint, m_arrivedAt) == RequestStanding::Clear;
+    return m_exchange->isReused() && !isIrreversible() && !m_request.streamed && isClear;
+}
+
+bool GateRun::exchangeUnlessSilent(const Yield &yield)
+{
+    const Millis limit = m_gate.judgeOf(m_servedBy).badAbove(m_request.workClass) * SILENCE_SHARE;
+    const SilenceWatch watch(m_gate.context, limit, [this] { return isSilent(); });
+    try {
+        exchangeOnce(*m_exchange, yield);
+        return true;
+    } catch (const boost::system::system_error &) {
+        if (!watch.gaveUp()) {
+            throw;
+        }
+        return false;
+    }
+}
+
+bool GateRun::isSilent()
+{
+    if (m_headReceived || m_exchange->isCancelled() || !m_gate.resends.takeRetry()) {
+        return false;
+    }
+    m_exchange->close();
+    return true;
+}
+
+void GateRun::exchangeOnce(UpstreamExchange &exchange, const Yield &yield)
+{
+    if (!isIrreversible()) {
+        watchCaller(m_exchange);
+    }
     if (m_request.streamed) {
         wire::ProceedT proceed;
         proceed.request = m_request.request;
@@ -271,6 +321,7 @@
 void GateRun::sendRequest(UpstreamExchange &exchange, const Yield &yield)
 {
     auto &request = m_upstreamRequest;
+    request = {};
     request.method_string(m_request.method);
     request.target(m_request.target);
     request.version(11);
@@ -312,6 +363,7 @@
 void GateRun::receiveAnswer(UpstreamExchange &exchange, const Yield &yield)
 {
     exchange.receiveHead(patience(), yield);
+    m_headReceived = true;
     m_result = resultOfStatus(exchange.head().result_int());
     std::string body;
     bool more = true;
--- a/packages/daemon/src/gaterun.h
+++ b/packages/daemon/src/gaterun.h
@@ -25,8 +25,12 @@
     bool admit(Admission admission, const Yield &yield);
     void runOnUpstream(LocalUpstream &upstream, const Yield &yield);
     void execute(LocalUpstream &upstream, const Yield &yield);
-    std::unique_ptr<UpstreamExchange> openUpstream(LocalUpstream &upstream, const Yield &yield);
-    void exchange(UpstreamExchange &exchange, const Yield &yield);
+    std::unique_ptr<UpstreamExchange> openUpstream(LocalUpstream &upstream, bool fresh, const Yield &yield);
+    void exchange(LocalUpstream &upstream, std::uint64_t number, const Yield &yield);
+    bool exchangeUnlessSilent(const Yield &yield);
+    void exchangeOnce(UpstreamExchange &exchange, const Yield &yield);
+    bool isSilent();
+    bool mayMove() const;
     void sendRequest(UpstreamExchange &exchange, const Yield &yield);
     void relayUpload(UpstreamExchange &exchange, const Yield &yield);
     void receiveAnswer(UpstreamExchange &exchange, const Yield &yield);
@@ -64,6 +68,7 @@
     Millis m_deadline;
     Millis m_arrivedAt;
     Millis m_startedAt;
+    bool m_headReceived = false;
     bool m_connectionLost = false; ///< the exchange failed, and not by a timeout
     AttemptResult m_result = AttemptResult::Unjudged;
     std::string m_servedBy;
--- a/packages/daemon/src/operationopener.cpp
+++ b/packages/daemon/src/operationopener.cpp
@@ -50,7 +50,7 @@
         return reply.operation;
     } catch (const boost::system::system_error &) {
         m_shared.pool.drop(gate);
-    } catch (const BadFrame &) {
+    } catch (const Exception &) {
         m_shared.pool.drop(gate);
     }
     return {};
--- a/packages/daemon/src/upstreamclient.cpp
+++ b/packages/daemon/src/upstreamclient.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-UpstreamExchange::UpstreamExchange(std::unique_ptr<beast::tcp_stream> stream)
+UpstreamExchange::UpstreamExchange(std::unique_ptr<beast::tcp_stream> stream, bool reused)
     : m_stream(std::move(stream))
+    , m_reused(reused)
 {
 }
 
@@ -86,6 +87,11 @@
 void UpstreamExchange::cancel()
 {
     m_cancelled = true;
+    close();
+}
+
+void UpstreamExchange::close()
+{
     if (m_stream) {
         ErrorCode ignored;
         m_stream->socket().close(ignored);
@@ -96,13 +102,14 @@
                                                        const Yield &yield)
 {
     auto stream = fresh ? nullptr : takeIdle(toString(address));
+    const bool reused = stream != nullptr;
     if (!stream) {
         stream = std::make_unique<beast::tcp_stream>(m_context);
         stream->expires_after(toDuration(timeout));
         stream->async_connect(tcp::endpoint(asio::ip::make_address(address.address), address.port), yield);
         stream->socket().set_option(tcp::no_delay(true));
     }
-    return std::make_unique<UpstreamExchange>(std::move(stream));
+    return std::make_unique<UpstreamExchange>(std::move(stream), reused);
 }
 
 void UpstreamClient::giveBack(const Endpoint &address, UpstreamExchange &exchange)
--- a/packages/daemon/src/upstreamclient.h
+++ b/packages/daemon/src/upstreamclient.h
@@ -20,7 +20,8 @@
 class UpstreamExchange
 {
 public:
-    explicit UpstreamExchange(std::unique_ptr<beast::tcp_stream> stream);
+    /// @param reused whether the connection has served an exchange before
+    UpstreamExchange(std::unique_ptr<beast::tcp_stream> stream, bool reused);
 
     /// Sends the head; the first byte that can make the upstream run the request.
     void sendHead(http::request<http::buffer_body> &request, Millis timeout, const Yield &yield);
@@ -41,6 +42,12 @@
     {
         return m_cancelled;
     }
+    bool isReused() const
+    {
+        return m_reused;
+    }
+    /// Closes the connection; pending calls fail.
+    void close();
     std::unique_ptr<beast::tcp_stream> takeStream()
     {
         return std::move(m_stream);
@@ -48,6 +55,7 @@
 
 private:
     std::unique_ptr<beast::tcp_stream> m_stream;
+    bool m_reused;
     bool m_cancelled = false;
     beast::flat_buffer m_buffer;
     http::request<http::buffer_body> *m_request = nullptr;
--- a/packages/decision/include/decision/upstreamjudge.h
+++ b/packages/decision/include/decision/upstreamjudge.h
@@ -30,6 +30,8 @@
     /// Looks at running requests. To be called every few tens of milliseconds.
     void tick(Millis now);
 
+    /// A service time above this counts as bad, as far as routers have told.
+    Millis badAbove(const std::string &workClass) const;
     /// Evidence that the upstream fails a class of work more than its peers do.
     double score(const std::string &workClass) const;
     /// Whether new requests of the class should go elsewhere, if there is room elsewhere.
--- a/packages/decision/src/upstreamjudge.cpp
+++ b/packages/decision/src/upstreamjudge.cpp
@@ -127,6 +127,12 @@
     return share;
 }
 
+Millis UpstreamJudge::badAbove(const std::string &workClass) const
+{
+    const auto found = m_tracks.find(workClass);
+    return found == m_tracks.end() ? Millis() : found->second.normality.badAbove;
+}
+
 double UpstreamJudge::score(const std::string &workClass) const
 {
     const auto found = m_tracks.find(workClass);
--- a/packages/foundation/include/foundation/errors.h
+++ b/packages/foundation/include/foundation/errors.h
@@ -29,6 +29,7 @@
 constexpr const char FRAME_MAGIC[] = "a frame starts with {:#x}: check that the peer is a mustardpond process";
 constexpr const char FRAME_VERSION[] = "a frame has version {}, this process speaks {}: upgrade the older of the two";
 constexpr const char FRAME_MALFORMED[] = "a frame of {} bytes does not verify: check the link and the peer's version";
+constexpr const char FRAME_FIELD[] = "a frame's field {} is outside its range: check the peer's version";
 constexpr const char FRAME_UNEXPECTED[] = "a frame of type {} arrived out of turn: check the peer's version";
 constexpr const char STORE_OUTAGE[] =
     "the platform at {} does not answer ({}): it is retried; the last accepted configuration stays in force";
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -22,6 +22,7 @@
     EjectionHeldByFloor = 212,
     SharedCause = 213,
     RequestQuarantined = 220,
+    ConnectionSilent = 230,
     MemberJoined = 300,
     MemberSuspected = 301,
     MemberDead = 302,
@@ -36,7 +37,7 @@
     AnswerDiscarded = 602,
 };
 
-constexpr EnumTable<Event, 24> EVENT_NAMES = {{
+constexpr EnumTable<Event, 25> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -49,6 +50,7 @@
     {Event::EjectionHeldByFloor, "ejection-held-by-floor"},
     {Event::SharedCause, "shared-cause"},
     {Event::RequestQuarantined, "request-quarantined"},
+    {Event::ConnectionSilent, "connection-silent"},
     {Event::MemberJoined, "member-joined"},
     {Event::MemberSuspected, "member-suspected"},
     {Event::MemberDead, "member-dead"},
--- a/packages/testing/include/testing/httpserver.h
+++ b/packages/testing/include/testing/httpserver.h
@@ -19,6 +19,9 @@
 {
 };
 
+/// Field in which a handler finds the number of the connection, counted from 1.
+constexpr const char CONNECTION_NUMBER_FIELD[] = "Stand-In-Connection";
+
 class HttpServer
 {
 public:
@@ -35,6 +38,7 @@
     void serve(tcp::socket socket, const Yield &yield);
 
     Handler m_handler;
+    std::uint64_t m_connections = 0;
     std::shared_ptr<Listener> m_listener;
 };
 
--- a/packages/testing/src/httpserver.cpp
+++ b/packages/testing/src/httpserver.cpp
@@ -15,12 +15,14 @@
 {
     socket.set_option(tcp::no_delay(true));
     beast::flat_buffer buffer;
+    const std::string number = std::to_string(++m_connections);
     while (true) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(UNLIMITED_BYTES);
         http::async_read_header(socket, buffer, parser, yield);
         http::async_read(socket, buffer, parser, yield);
-        const Request request = parser.release();
+        Request request = parser.release();
+        request.set(CONNECTION_NUMBER_FIELD, number);
         Response response;
         try {
             response = m_handler(request, socket, yield);
--- a/packages/testing/src/links_main.cpp
+++ b/packages/testing/src/links_main.cpp
@@ -24,6 +24,7 @@
 
 struct Cuts {
     std::set<std::string> pairs; ///< "from>to", each an address 127.1.R.H
+    int silences = 0; ///< each makes the connections silent that are open then
 };
 
 std::string hostOf(const asio::ip::address &address)
@@ -55,6 +56,7 @@
         , m_latency(latency)
         , m_cuts(cuts)
         , m_pair(std::move(pair))
+        , m_silencesBefore(cuts.silences)
         , m_wake(context)
     {
     }
@@ -71,13 +73,18 @@
         std::string bytes;
     };
 
+    bool carries() const
+    {
+        return m_cuts.pairs.count(m_pair) == 0 && m_cuts.silences == m_silencesBefore;
+    }
+
     void read(const Yield &yield)
     {
         ErrorCode error;
         std::string bytes(CHUNK_BYTES, '\0');
         while (!error) {
             const std::size_t count = m_from->async_read_some(asio::buffer(bytes), yield[error]);
-            if (count > 0 && m_cuts.pairs.count(m_pair) == 0) {
+            if (count > 0 && carries()) {
                 m_chunks.push_back({m_clock.now() + m_latency, bytes.substr(0, count)});
                 m_wake.cancel();
             }
@@ -107,7 +114,7 @@
             }
             asio::async_write(*m_to, asio::buffer(chunk.bytes), yield[error]);
         }
-        if (m_cuts.pairs.count(m_pair) == 0) {
+        if (carries()) {
             m_to->shutdown(tcp::socket::shutdown_send, error);
         }
     }
@@ -118,6 +125,7 @@
     Millis m_latency;
     const Cuts &m_cuts;
     std::string m_pair;
+    int m_silencesBefore;
     SteadyClock m_clock;
     asio::steady_timer m_wake;
     std::deque<Chunk> m_chunks;
@@ -153,7 +161,8 @@
     std::vector<std::string> hosts;
     std::string control;
     app.add_option("--host", hosts, "inner address of a daemon, 127.1.R.H:port")->required();
-    app.add_option("--control", control, "address:port that takes POST {\"cut\": [\"127.1.R.H>127.1.R.H\"]}")
+    app.add_option("--control", control,
+                   "address:port that takes POST {\"cut\": [\"127.1.R.H>127.1.R.H\"], \"silence\": true}")
         ->required();
     CLI11_PARSE(app, argc, argv);
     asio::io_context context(1);
@@ -172,7 +181,8 @@
     HttpServer server(context, parseEndpoint(control, "control"),
                       [&](const Request &request, tcp::socket &, const Yield &) {
                           const auto document = nlohmann::json::parse(request.body());
-                          cuts.pairs = document.at("cut").get<std::set<std::string>>();
+                          cuts.pairs = document.value("cut", std::set<std::string>());
+                          cuts.silences += document.value("silence", false) ? 1 : 0;
                           return jsonResponse(http::status::ok, "{}");
                       });
     server.start();
--- a/packages/testing/src/upstream_main.cpp
+++ b/packages/testing/src/upstream_main.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -20,6 +21,7 @@
 
 constexpr std::chrono::milliseconds ANNOUNCE_PERIOD{1000};
 constexpr Millis ANNOUNCE_TIMEOUT{800};
+constexpr Millis SILENCE{20000};
 constexpr Millis LATE_CRASH{10}; ///< from the end of the connection to that of the process
 
 struct Options {
@@ -37,6 +39,7 @@
     std::string onPath; ///< only requests whose path holds this text; empty for all
     bool hang = false;
     bool truncate = false;
+    std::uint64_t silentUpTo = 0; ///< connections up to this number are read and never answered
 };
 
 std::string digestOf(const std::string &body)
@@ -67,6 +70,12 @@
             m_state = request.body();
             return jsonResponse(http::status::ok, "{}");
         }
+        const auto connection = std::stoull(std::string(request[CONNECTION_NUMBER_FIELD]));
+        m_lastConnection = std::max(m_lastConnection, connection);
+        if (connection <= m_fault.silentUpTo) {
+            sleepFor(m_context, SILENCE, yield);
+            throw NoAnswer();
+        }
         if (m_running >= m_options.slots) {
             Response shed = jsonResponse(http::status::service_unavailable, "{}");
             shed.set(http::field::retry_after, "1");
@@ -151,6 +160,7 @@
         m_fault.onPath = document.value("onPath", "");
         m_fault.hang = document.value("hang", false);
         m_fault.truncate = document.value("truncate", false);
+        m_fault.silentUpTo = document.value("silenceOpen", false) ? m_lastConnection : 0;
         return jsonResponse(http::status::ok, "{}");
     }
 
@@ -160,6 +170,7 @@
     Fault m_fault;
     unsigned m_running = 0;
     std::string m_state = "ready";
+    unsigned long long m_lastConnection = 0; ///< number of the newest
     std::map<std::string, int> m_runs;
     std::map<std::string, std::string> m_uploads;
 };
--- a/packages/wire/src/frame.cpp
+++ b/packages/wire/src/frame.cpp
@@ -1,5 +1,7 @@
 #include "wire/frame.h"
 
+#include "framecheck.h"
+
 #include "foundation/errors.h"
 
 #include <fmt/format.h>
@@ -65,6 +67,7 @@
     if (frame.body.type == wire::Body::NONE || frame.body.value == nullptr) {
         throw BadFrame(fmt::format(ErrorMsg::FRAME_MALFORMED, body.size()));
     }
+    checkFrame(frame);
     return frame;
 }
 
--- a/packages/wire/test/frame_test.cpp
+++ b/packages/wire/test/frame_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace mustardpond {
 
@@ -69,6 +70,30 @@
     }
 }
 
+template <typename Message>
+void expectRejected(Message message)
+{
+    const std::string bytes = packMessage(std::move(message));
+    EXPECT_THROW(parseFrame(std::string_view(bytes).substr(FRAME_HEADER_BYTES)), BadFrame);
+}
+
+TEST(FrameTest, ValuesOutsideTheirRangeAreRejected)
+{
+    wire::ProxyRequestT request;
+    request.deadlineMs = std::numeric_limits<double>::quiet_NaN();
+    expectRejected(wire::ProxyRequestT(request));
+    request.deadlineMs = 1000;
+    request.peerBadShare = 1.5;
+    expectRejected(wire::ProxyRequestT(request));
+    wire::AnswerT answer;
+    answer.outcome = static_cast<wire::Outcome>(99);
+    expectRejected(std::move(answer));
+    wire::GossipT gossip;
+    gossip.members.push_back(std::make_unique<wire::MemberRecordT>());
+    gossip.members.front()->upstreams.push_back(std::make_unique<wire::UpstreamRecordT>());
+    expectRejected(std::move(gossip));
+}
+
 TEST(FrameTest, DamagedBodiesThrowOrParse)
 {
     constexpr int ROUNDS = 20000;
--- /dev/null
+++ b/tests/process/silence_test.sh
@@ -0,0 +1,54 @@
+#!/usr/bin/env bash
+# Open connections go silent for good while new ones work, first those to an upstream, then those between the daemons:
+# every request is answered whole, and no upstream is blamed.
+TEST=silence BASE=52
+. "$(dirname "$0")/fixture.sh"
+startFleet sicil muhur
+
+expectNobodyBlamed() { # kind
+    if grep -h upstream-ejected "$OUT"/daemon-*.log; then
+        echo "FAILED $TEST: an upstream was ejected when connections $1 went silent"
+        exit 1
+    fi
+}
+
+expectMoved() { # text: some request went on over a new connection
+    grep -h connection-silent "$OUT"/daemon-*.log | grep -q "$1" || {
+        echo "FAILED $TEST: no request left a silent connection ($1)"
+        exit 1
+    }
+}
+
+load() { # name seed
+    callers "$1" --work "$LOOKUP" --work "$OPERATION" --rate 300 --connections 30 --seconds 4 --seed "$2"
+}
+
+for host in "$NEAR.1" "$NEAR.2" "$FAR.1"; do
+    for port in 9001 9002; do
+        setFault "$host:$port" '{"extraMs": 25}' # so that many connections are open
+    done
+done
+load warm 61
+expectAllWhole warm
+expectNobodyBlamed "(none yet)"
+for host in "$NEAR.1" "$NEAR.2" "$FAR.1"; do
+    for port in 9001 9002; do
+        setFault "$host:$port" '{}'
+    done
+done
+for port in 9001 9002; do
+    setFault "$NEAR.1:$port" '{"silenceOpen": true}'
+done
+load upstream 62
+expectAllWhole upstream
+expectNobodyBlamed "to an upstream"
+expectMoved '"upstream"'
+load between 63 &
+driver=$!
+sleep 2
+curl -sf -X POST -d '{"silence": true}' "http://127.1.$BASE.100:7500" >/dev/null
+wait "$driver"
+expectAllWhole between
+expectNobodyBlamed "between the daemons"
+expectMoved '"gate"'
+echo "passed $TEST"
