Burn report by upstream and data centre, as an HTML page, against the callers' counts

The command moved to files of its own. burn_test.sh counts with curl: 40 good requests, then 30 that all upstreams fail; requests, good ones and blame agree. Unit tests pass; process.burn passes; the other process tests were not run again on this change.

--- /dev/null
+++ b/packages/ctl/src/burnreport.cpp
@@ -0,0 +1,116 @@
+#include "burnreport.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr double MS_PER_MINUTE = 60000;
+
+BurnCounts countsFrom(const nlohmann::json &window)
+{
+    BurnCounts counts;
+    counts.requests = window.at("requests");
+    counts.good = window.at("good");
+    counts.retried = window.at("retried");
+    counts.spilled = window.at("spilled");
+    counts.held = window.at("held");
+    counts.refused = window.at("refused");
+    return counts;
+}
+
+void addWindow(FleetWindow &sum, const nlohmann::json &document)
+{
+    BurnWindow part;
+    part.counts = countsFrom(document);
+    for (const auto &entry : document.at("badBy")) {
+        const std::string upstream = entry.at("upstream");
+        part.badBy[upstream] = entry.at("bad");
+        sum.dataCentres[upstream] = entry.at("dataCentre");
+    }
+    sum.window += part;
+}
+
+nlohmann::json windowJson(const FleetWindow &window, Millis length, double successTarget)
+{
+    nlohmann::json badBy = nlohmann::json::array();
+    for (const auto &[upstream, bad] : window.window.badBy) {
+        badBy.push_back({{"upstream", upstream}, {"dataCentre", window.dataCentres.at(upstream)}, {"bad", bad}});
+    }
+    const BurnCounts &counts = window.window.counts;
+    return {{"windowMs", length.value},
+            {"requests", counts.requests},
+            {"good", counts.good},
+            {"retried", counts.retried},
+            {"spilled", counts.spilled},
+            {"held", counts.held},
+            {"refused", counts.refused},
+            {"burnRate", burnRate(counts, successTarget)},
+            {"badBy", badBy}};
+}
+
+std::string rowText(const std::string &name, const ClassBurn &burn, std::size_t index)
+{
+    const BurnCounts &counts = burn.windows.at(index).window.counts;
+    return fmt::format("{:<28} {:>8} {:>5} min {:>10} {:>10} {:>8.2f} {:>8} {:>8} {:>8} {:>8}\n", name,
+                       burn.successTarget, BURN_WINDOWS.at(index).value / MS_PER_MINUTE, counts.requests, counts.good,
+                       burnRate(counts, burn.successTarget), counts.retried, counts.spilled, counts.held,
+                       counts.refused);
+}
+
+} // namespace
+
+void addBurn(BurnByClass &sum, const nlohmann::json &document)
+{
+    for (const auto &entry : document.at("burn")) {
+        const std::string key = entry.at("service").get<std::string>() + "/" + entry.at("class").get<std::string>();
+        ClassBurn &burn = sum[key];
+        burn.successTarget = entry.at("successTarget");
+        for (std::size_t index = 0; index < BURN_WINDOWS.size(); ++index) {
+            addWindow(burn.windows.at(index), entry.at("windows").at(index));
+        }
+    }
+}
+
+double budgetLeft(const ClassBurn &burn)
+{
+    return std::max(0.0, 1 - burnRate(burn.windows.back().window.counts, burn.successTarget));
+}
+
+nlohmann::json burnJson(const BurnByClass &sum)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[key, burn] : sum) {
+        nlohmann::json windows = nlohmann::json::array();
+        for (std::size_t index = 0; index < BURN_WINDOWS.size(); ++index) {
+            windows.push_back(windowJson(burn.windows.at(index), BURN_WINDOWS.at(index), burn.successTarget));
+        }
+        list.push_back({{"class", key},
+                        {"successTarget", burn.successTarget},
+                        {"budgetLeft", budgetLeft(burn)},
+                        {"windows", windows}});
+    }
+    return list;
+}
+
+std::string burnText(const BurnByClass &sum)
+{
+    std::string text =
+        fmt::format("{:<28} {:>8} {:>9} {:>10} {:>10} {:>8} {:>8} {:>8} {:>8} {:>8}\n", "service/class", "target",
+                    "window", "requests", "good", "burn", "retried", "spilled", "held", "refused");
+    for (const auto &[key, burn] : sum) {
+        for (std::size_t index = 0; index < BURN_WINDOWS.size(); ++index) {
+            text += rowText(key, burn, index);
+        }
+        for (const auto &[upstream, bad] : burn.windows.back().window.badBy) {
+            text += fmt::format("  {} not good by {} ({})\n", bad, upstream.empty() ? "no upstream" : upstream,
+                                burn.windows.back().dataCentres.at(upstream));
+        }
+    }
+    return text;
+}
+
+} // namespace mustardpond
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -1,5 +1,6 @@
 /// The operator program: targets, directors' decisions, status and burn.
 
+#include "burncommand.h"
 #include "objectcommands.h"
 #include "statuscommands.h"
 
@@ -24,6 +25,7 @@
     std::string platform = "127.0.0.1:7400";
     std::vector<std::string> daemons;
     bool json = false;
+    std::string page; ///< file for the burn report as HTML
     std::string kind;
     std::string name;
     std::string file;
@@ -102,7 +104,8 @@
     status->callback([&] { printStatus(daemonsOf(arguments, store), arguments.json); });
 
     auto *burn = app.add_subcommand("burn", "show how fast each class of work uses up its budget");
-    burn->callback([&] { printBurn(daemonsOf(arguments, store), arguments.json); });
+    burn->add_option("--html", arguments.page, "write the report as an HTML page to this file, too");
+    burn->callback([&] { printBurn(daemonsOf(arguments, store), arguments.json, arguments.page); });
 }
 
 /// The platform of the --platform option, known only once the options are parsed.
--- a/packages/daemon/src/callersession.cpp
+++ b/packages/daemon/src/callersession.cpp
@@ -349,6 +349,7 @@
     ServedRequest served;
     served.service = request.service;
     served.workClass = request.workClass.name;
+    served.upstream = result.upstream;
     const bool whole = outcome == Outcome::Ran && !isServerError(result.answer.status);
     served.good = whole && latency <= request.workClass.latencyTarget;
     served.retried = result.retried;
--- a/packages/daemon/src/dispatch.cpp
+++ b/packages/daemon/src/dispatch.cpp
@@ -7,6 +7,8 @@
 #include "foundation/errors.h"
 #include "foundation/events.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace mustardpond {
@@ -83,6 +85,7 @@
         }
         return false;
     }
+    m_result.upstream = ref.id;
     if (needsRetry(attempt) && mayRetry(attempt)) {
         m_maybeRan = true;
         m_result.retried = true;
@@ -94,7 +97,6 @@
         settleUnknown("the connection to the gate failed while the request was there");
         return true;
     }
-    m_result.upstream = ref.id;
     m_result.spilled = ref.distance == Distance::OtherRegion;
     m_result.answer = std::move(attempt.answer);
     return true;
--- a/packages/daemon/src/localendpoint.cpp
+++ b/packages/daemon/src/localendpoint.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace mustardpond {
 
 namespace {
@@ -11,12 +13,34 @@
 constexpr Millis IDLE_TIMEOUT{30000};
 constexpr Millis EXPIRY_PERIOD{500};
 
-nlohmann::json windowJson(const BurnCounts &counts, Millis window, double successTarget)
+std::string dataCentreOf(const FleetView &view, const std::string &upstream)
+{
+    for (const Member &member : view.members) {
+        const bool serves = std::any_of(member.upstreams.begin(), member.upstreams.end(),
+                                        [&upstream](const UpstreamInfo &info) { return info.id == upstream; });
+        if (serves) {
+            return member.dataCentre;
+        }
+    }
+    return {};
+}
+
+nlohmann::json windowJson(const BurnWindow &window, Millis length, double successTarget, const FleetView &view)
 {
-    return {{"windowMs", window.value},  {"requests", counts.requests},
-            {"good", counts.good},       {"retried", counts.retried},
-            {"spilled", counts.spilled}, {"held", counts.held},
-            {"refused", counts.refused}, {"burnRate", burnRate(counts, successTarget)}};
+    nlohmann::json badBy = nlohmann::json::array();
+    for (const auto &[upstream, bad] : window.badBy) {
+        badBy.push_back({{"upstream", upstream}, {"dataCentre", dataCentreOf(view, upstream)}, {"bad", bad}});
+    }
+    const BurnCounts &counts = window.counts;
+    return {{"windowMs", length.value},
+            {"requests", counts.requests},
+            {"good", counts.good},
+            {"retried", counts.retried},
+            {"spilled", counts.spilled},
+            {"held", counts.held},
+            {"refused", counts.refused},
+            {"burnRate", burnRate(counts, successTarget)},
+            {"badBy", badBy}};
 }
 
 } // namespace
@@ -168,7 +192,7 @@
         const double target = workClass ? workClass->successTarget : 0;
         nlohmann::json windows = nlohmann::json::array();
         for (std::size_t index = 0; index < BURN_WINDOWS.size(); ++index) {
-            windows.push_back(windowJson(report.windows.at(index), BURN_WINDOWS.at(index), target));
+            windows.push_back(windowJson(report.windows.at(index), BURN_WINDOWS.at(index), target, view));
         }
         list.push_back({{"service", report.service},
                         {"class", report.workClass},
--- a/packages/decision/include/decision/burn.h
+++ b/packages/decision/include/decision/burn.h
@@ -18,6 +18,7 @@
 struct ServedRequest {
     std::string service;
     std::string workClass;
+    std::string upstream; ///< that answered or failed last; empty if none did
     bool good = false; ///< whole answer within the latency target
     bool retried = false;
     bool spilled = false; ///< served by another region
@@ -39,10 +40,21 @@
 /// Rate at which the budget is used: 1 uses it up exactly; 0 for no requests.
 double burnRate(const BurnCounts &counts, double successTarget);
 
+/// Requests that were not good, by the upstream that answered or failed last.
+using BadByUpstream = std::map<std::string, std::uint64_t>;
+
+/// What happened in one window.
+struct BurnWindow {
+    BurnCounts counts;
+    BadByUpstream badBy;
+};
+
+BurnWindow &operator+=(BurnWindow &sum, const BurnWindow &part);
+
 struct BurnReport {
     std::string service;
     std::string workClass;
-    std::array<BurnCounts, BURN_WINDOWS.size()> windows;
+    std::array<BurnWindow, BURN_WINDOWS.size()> windows;
 };
 
 /// Counts requests in time slices as long as the slowest window. Not thread-safe.
@@ -56,7 +68,7 @@
 private:
     struct Slice {
         Millis start;
-        BurnCounts counts;
+        BurnWindow window;
     };
     struct Key {
         std::string service;
--- a/packages/decision/src/burn.cpp
+++ b/packages/decision/src/burn.cpp
@@ -32,6 +32,15 @@
     return sum;
 }
 
+BurnWindow &operator+=(BurnWindow &sum, const BurnWindow &part)
+{
+    sum.counts += part.counts;
+    for (const auto &[upstream, bad] : part.badBy) {
+        sum.badBy[upstream] += bad;
+    }
+    return sum;
+}
+
 double burnRate(const BurnCounts &counts, double successTarget)
 {
     if (counts.requests == 0) {
@@ -58,7 +67,11 @@
     one.spilled = request.spilled ? 1 : 0;
     one.held = request.held ? 1 : 0;
     one.refused = request.refused ? 1 : 0;
-    slices.back().counts += one;
+    BurnWindow &window = slices.back().window;
+    window.counts += one;
+    if (!request.good) {
+        ++window.badBy[request.upstream];
+    }
 }
 
 std::vector<BurnReport> BurnMeter::report(Millis now) const
@@ -69,7 +82,7 @@
         for (const Slice &slice : slices) {
             for (std::size_t index = 0; index < BURN_WINDOWS.size(); ++index) {
                 if (now - slice.start < BURN_WINDOWS.at(index)) {
-                    report.windows.at(index) += slice.counts;
+                    report.windows.at(index) += slice.window;
                 }
             }
         }
--- a/packages/foundation/include/foundation/errors.h
+++ b/packages/foundation/include/foundation/errors.h
@@ -22,6 +22,7 @@
 constexpr const char INVALID_FIELD[] = "field '{}' is {}: {}";
 constexpr const char INVALID_DOCUMENT[] = "{} is not a valid JSON document ({}): correct it and try again";
 constexpr const char FILE_UNREADABLE[] = "cannot read '{}': check that the path exists and is readable";
+constexpr const char FILE_NOT_WRITTEN[] = "cannot write '{}': check that its directory exists and is writable";
 constexpr const char UNKNOWN_SERVICE[] = "no service named '{}' is registered: register it before the kernel starts";
 constexpr const char SERVICE_TAKEN[] = "a service named '{}' is registered already: choose another name";
 constexpr const char FRAME_TOO_LARGE[] =
