--- a/packages/decision/bench/detection_main.cpp
+++ b/packages/decision/bench/detection_main.cpp
@@ -1,6 +1,7 @@
 /// Detection time and false ejections per fault, for several policies in one run. Prints a table and writes JSON.
 
 #include "baselinedetectors.h"
+#include "curveplot.h"
 #include "servicetrace.h"
 
 #include "decision/sequentialdetector.h"
@@ -63,12 +64,15 @@
     std::uint64_t requests = 0;
     std::uint64_t good = 0;
     std::uint64_t retries = 0;
+    std::uint64_t requestsInFault = 0;
+    std::uint64_t retriesInFault = 0;
 };
 
 struct Options {
     std::uint64_t seeds = 20;
     double rate = 600;
     std::string output;
+    std::string curve; ///< file for the curve of the profiles; none if empty
     std::vector<std::string> faults; ///< all if empty
     std::vector<std::string> arms; ///< all if empty
     bool showChanges = false;
@@ -111,6 +115,8 @@
         figures.requests += result.requests;
         figures.good += result.good;
         figures.retries += result.retries;
+        figures.requestsInFault += result.requestsInFault;
+        figures.retriesInFault += result.retriesInFault;
     }
     std::sort(figures.detection.begin(), figures.detection.end());
     return figures;
@@ -130,7 +136,9 @@
             {"falseEjectionsPerHour", figures.falseEjections / figures.healthyHours},
             {"leastCapacity", figures.leastCapacity},
             {"goodShare", static_cast<double>(figures.good) / static_cast<double>(figures.requests)},
-            {"retryShare", static_cast<double>(figures.retries) / static_cast<double>(figures.requests)}};
+            {"retryShare", static_cast<double>(figures.retries) / static_cast<double>(figures.requests)},
+            {"retryShareInFault",
+             static_cast<double>(figures.retriesInFault) / static_cast<double>(figures.requestsInFault)}};
 }
 
 void printRow(const nlohmann::json &row)
@@ -142,6 +150,42 @@
                              row["goodShare"].get<double>(), row["retryShare"].get<double>());
 }
 
+/// The whole range of the profiles, on the traces that tell them apart.
+CurvePoint measureProfile(double cost, const Options &options)
+{
+    const Arm arm{fmt::format("{}", cost), sequentialFactory(cost), profileForCost(cost)};
+    const Figures errors = measure(arm, FaultKind::Errors, options);
+    CurvePoint point;
+    point.cost = cost;
+    point.detectionP99 = Millis(quantile(errors.detection, 0.99));
+    double falseEjections = 0;
+    double hours = 0;
+    for (const FaultKind fault :
+         {FaultKind::Bursts, FaultKind::SharedSlow, FaultKind::BrownOut, FaultKind::TwoAtOnce}) {
+        const Figures figures = measure(arm, fault, options);
+        falseEjections += figures.falseEjections;
+        hours += figures.healthyHours;
+    }
+    point.falsePerHour = falseEjections / hours;
+    return point;
+}
+
+void drawCurve(const Options &options)
+{
+    constexpr std::array<double, 7> COSTS = {0.05, 0.2, 1, 10, 50, 200, 1000};
+    std::vector<std::future<CurvePoint>> pending;
+    for (const double cost : COSTS) {
+        pending.push_back(std::async(std::launch::async, measureProfile, cost, options));
+    }
+    std::vector<CurvePoint> points;
+    for (auto &point : pending) {
+        points.push_back(point.get());
+        std::cout << fmt::format("cost {:>6}: half-failing upstreams p99 {:>6.0f} ms, false ejections {:.2f}/h\n",
+                                 points.back().cost, points.back().detectionP99.value, points.back().falsePerHour);
+    }
+    std::ofstream(options.curve) << curvePlot(points);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -154,7 +198,13 @@
     app.add_option("--fault", options.faults, "only this fault; may be repeated");
     app.add_option("--arm", options.arms, "only this arm; may be repeated");
     app.add_flag("--changes", options.showChanges, "print each change of health; best with one fault and one arm");
+    app.add_option("--curve", options.curve,
+                   "draw detection against false ejections over the profiles to this SVG file");
     CLI11_PARSE(app, argc, argv);
+    if (!options.curve.empty()) {
+        drawCurve(options);
+        return 0;
+    }
     const std::vector<Arm> arms = allArms();
     std::vector<std::future<Figures>> pending;
     for (const auto &fault : FAULT_KIND_NAMES) {
--- a/packages/decision/bench/servicetrace.cpp
+++ b/packages/decision/bench/servicetrace.cpp
@@ -20,6 +20,7 @@
 constexpr double SLIGHT_FACTOR = 8;
 constexpr double SHARED_FACTOR = 6;
 constexpr double ERROR_SHARE = 0.5;
+constexpr double BROWN_OUT_SHARE = 0.3;
 constexpr double BURST_FACTOR = 5;
 constexpr Millis BURST_PERIOD{2000};
 constexpr Millis BURST_LENGTH{400};
@@ -123,6 +124,7 @@
         case FaultKind::Quiet:
         case FaultKind::Bursts:
         case FaultKind::SharedSlow:
+        case FaultKind::BrownOut:
             return 0;
         case FaultKind::TwoAtOnce:
             return 2;
@@ -156,6 +158,7 @@
     void arrive()
     {
         ++m_result.requests;
+        m_result.requestsInFault += isInFault() ? 1 : 0;
         const std::uint64_t number = m_nextRequest++;
         CallerRequest &request = m_requests[number];
         request.arrival = m_now;
@@ -228,9 +231,14 @@
             && !router.detector->mustServe(std::to_string(upstream), request.workClass);
     }
 
+    bool isInFault() const
+    {
+        return m_now >= m_plan.faultStart && m_now < m_plan.faultEnd;
+    }
+
     bool isWithinFault(std::size_t upstream) const
     {
-        return upstream < faultyCount() && m_now >= m_plan.faultStart && m_now < m_plan.faultEnd;
+        return upstream < faultyCount() && isInFault();
     }
 
     void startNext(std::size_t index)
@@ -269,11 +277,12 @@
         // An Erlang-2 distribution: a moderate tail, as of a backend server with a cache.
         const double draw = -std::log((1 - m_random.unit()) * (1 - m_random.unit())) / 2;
         Served served{m_plan.serviceTime * draw, false};
-        const bool shared =
-            m_plan.fault == FaultKind::SharedSlow && m_now >= m_plan.faultStart && m_now < m_plan.faultEnd;
-        if (shared) {
+        if (isInFault() && m_plan.fault == FaultKind::SharedSlow) {
             served.time = served.time * SHARED_FACTOR;
         }
+        if (isInFault() && m_plan.fault == FaultKind::BrownOut) {
+            served.failed = m_random.unit() < BROWN_OUT_SHARE;
+        }
         if (!isFaulty(attempt.upstream, m_now)) {
             return served;
         }
@@ -329,6 +338,7 @@
         }
         if (latency < m_plan.deadline && router.budget.takeRetry()) {
             ++m_result.retries;
+            m_result.retriesInFault += isInFault() ? 1 : 0;
             send(attempt->request, attempt->router);
             return;
         }
--- a/packages/decision/bench/servicetrace.h
+++ b/packages/decision/bench/servicetrace.h
@@ -15,6 +15,7 @@
     Quiet,
     Bursts,
     SharedSlow,
+    BrownOut,
     Slow,
     SlightlySlow,
     Errors,
@@ -25,10 +26,11 @@
     TwoAtOnce,
 };
 
-constexpr EnumTable<FaultKind, 11> FAULT_KIND_NAMES = {{
+constexpr EnumTable<FaultKind, 12> FAULT_KIND_NAMES = {{
     {FaultKind::Quiet, "quiet"},
     {FaultKind::Bursts, "bursts"},
     {FaultKind::SharedSlow, "shared-slow"},
+    {FaultKind::BrownOut, "brown-out"},
     {FaultKind::Slow, "slow"},
     {FaultKind::SlightlySlow, "slightly-slow"},
     {FaultKind::Errors, "errors"},
@@ -69,6 +71,8 @@
     std::uint64_t requests = 0;
     std::uint64_t good = 0; ///< answered without error within the target
     std::uint64_t retries = 0;
+    std::uint64_t requestsInFault = 0; ///< first tries from the fault's start to its end
+    std::uint64_t retriesInFault = 0;
 };
 
 TraceResult runTrace(const TracePlan &plan, const DetectorFactory &makeDetector);
--- a/packages/decision/include/decision/retrybudget.h
+++ b/packages/decision/include/decision/retrybudget.h
@@ -6,7 +6,7 @@
 namespace mustardpond {
 
 struct RetryLimits {
-    double share = 0.1; ///< retries allowed per first try
+    double share = 0.09; ///< retries allowed per first try; with the burst, under a tenth
     double burst = 3; ///< retries that may be saved up
 };
 
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -56,13 +56,18 @@
     rule=$(cell "$fault" consecutive detectionP50Ms)
     verdict "detection-against-consecutive-$fault" "$(atMost "$ours" "$rule")" "directorate p50 $ours ms, rule $rule"
 done
-for fault in quiet bursts shared-slow; do
+for fault in quiet bursts shared-slow brown-out; do
     for arm in directorate bundesstelle; do
         false=$(cell "$fault" "$arm" falseEjectionsPerHour)
         verdict "false-ejections-$fault-$arm" "$(atMost "$false" 0)" "$false per upstream-hour, target 0"
     done
 done
 
+for arm in directorate bundesstelle; do
+    share=$(cell brown-out "$arm" retryShareInFault)
+    verdict "retries-brown-out-$arm" "$(atMost "$share" 0.1)" "$share of first tries, target 0.1"
+done
+
 echo "== time added by the path, against a direct connection in the same run"
 OUTER=$OUT
 OUT=$OUT/path
