--- a/packages/daemon/src/framechannel.cpp
+++ b/packages/daemon/src/framechannel.cpp
@@ -32,15 +32,6 @@
     return parseFrame(m_body);
 }
 
-bool FrameChannel::isStale()
-{
-    ErrorCode error;
-    char byte = 0;
-    m_stream.socket().non_blocking(true, error);
-    m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error != asio::error::would_block;
-}
-
 void FrameChannel::close()
 {
     ErrorCode ignored;
--- a/packages/daemon/src/framechannel.h
+++ b/packages/daemon/src/framechannel.h
@@ -30,8 +30,6 @@
     {
         return m_reused;
     }
-    /// Whether the peer has closed an idle channel, or has sent bytes out of turn.
-    bool isStale();
     void close();
 
 private:
--- a/packages/daemon/src/gatepool.cpp
+++ b/packages/daemon/src/gatepool.cpp
@@ -1,5 +1,7 @@
 #include "gatepool.h"
 
+#include "net/idlesocket.h"
+
 namespace mustardpond {
 
 namespace {
@@ -14,7 +16,7 @@
     while (!idle.empty()) {
         auto channel = std::move(idle.back());
         idle.pop_back();
-        if (!channel->isStale()) {
+        if (!isStale(channel->socket())) {
             return channel;
         }
     }
--- a/packages/daemon/src/gaterun.cpp
+++ b/packages/daemon/src/gaterun.cpp
@@ -1,6 +1,7 @@
 #include "gaterun.h"
 
 #include "bodydigest.h"
+#include "crashwatch.h"
 #include "httprules.h"
 #include "silencewatch.h"
 
@@ -10,17 +11,12 @@
 
 #include <nlohmann/json.hpp>
 
-#include <array>
-
 namespace mustardpond {
 
 namespace {
 
 constexpr Millis CHANNEL_TIMEOUT{30000};
 constexpr Millis CONNECT_TIMEOUT{1000};
-constexpr Millis CRASH_CHECK_TIMEOUT{200};
-constexpr Millis CRASH_RECHECK{20}; ///< a dying upstream may close its connections before its listener
-constexpr std::array<Millis, 3> CRASH_CHECKS = {Millis(100), Millis(300), Millis(600)};
 constexpr Millis ANSWER_GRACE{60000}; ///< for the answer of an irreversible run after its deadline
 constexpr double SILENCE_SHARE = 0.9; ///< of the service time that counts as bad; then a reused connection is doubted
 constexpr std::size_t CHUNK_BYTES = 64 * KIB;
@@ -62,37 +58,6 @@
     return headers;
 }
 
-bool hasCrashed(GateContext &gate, const Endpoint &address, const Yield &yield)
-{
-    try {
-        gate.client.open(address, true, CRASH_CHECK_TIMEOUT, yield);
-        return false;
-    } catch (const boost::system::system_error &error) {
-        return error.code() == asio::error::connection_refused;
-    }
-}
-
-bool hasJustCrashed(GateContext &gate, const Endpoint &address, const Yield &yield)
-{
-    if (hasCrashed(gate, address, yield)) {
-        return true;
-    }
-    asio::steady_timer timer(gate.context, toDuration(CRASH_RECHECK));
-    timer.async_wait(yield);
-    return hasCrashed(gate, address, yield);
-}
-
-void noteCrash(GateContext &gate, const std::string &service, std::uint64_t fingerprint)
-{
-    const auto standing = gate.quarantine.onCrash(fingerprint, gate.clock.now());
-    if (gate.reportCrash) {
-        gate.reportCrash(fingerprint);
-    }
-    if (standing == RequestStanding::Quarantined) {
-        logEvent(Event::RequestQuarantined, {{"service", service}, {"fingerprint", fingerprint}});
-    }
-}
-
 } // namespace
 
 GateRun::GateRun(GateContext &gate, wire::ProxyRequestT request, FrameChannel &channel)
@@ -423,30 +388,16 @@
     loseOperation();
     wire::AnswerT answer = newAnswer(Outcome::Unknown);
     answer.detail = "the exchange with the upstream failed: " + cause;
-    if (!m_exchange->isCancelled() && m_connectionLost && hasJustCrashed(m_gate, address, yield)) {
-        noteCrash(m_gate, m_request.service, m_fingerprint);
+    const SuspectedCrash suspected{address, m_request.service, m_fingerprint};
+    if (!m_exchange->isCancelled() && m_connectionLost && hasJustCrashed(m_gate, suspected, yield)) {
+        noteCrash(m_gate, suspected);
         answer.reason = wire::NotRunReason::Quarantined;
     } else if (m_exchange->isCancelled() || m_connectionLost) {
-        checkCrashLater(address);
+        checkCrashLater(m_gate, suspected);
     }
     finish(std::move(answer), yield);
 }
 
-void GateRun::checkCrashLater(const Endpoint &address)
-{
-    // The upstream may be dying slowly, and the router may have given up before the connection closed.
-    asio::spawn(m_gate.context,
-                [&gate = m_gate, address, service = m_request.service, print = m_fingerprint](const Yield &yield) {
-                    for (const Millis wait : CRASH_CHECKS) {
-                        asio::steady_timer timer(gate.context, toDuration(wait));
-                        timer.async_wait(yield);
-                        if (hasCrashed(gate, address, yield)) {
-                            return noteCrash(gate, service, print);
-                        }
-                    }
-                });
-}
-
 void GateRun::answerNotRun(NotRunReason reason, const std::string &detail, const Yield &yield)
 {
     wire::AnswerT answer = newAnswer(Outcome::NotRun);
--- a/packages/daemon/src/gaterun.h
+++ b/packages/daemon/src/gaterun.h
@@ -35,7 +35,6 @@
     void relayUpload(UpstreamExchange &exchange, const Yield &yield);
     void receiveAnswer(UpstreamExchange &exchange, const Yield &yield);
     void relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, const Yield &yield);
-    void checkCrashLater(const Endpoint &address);
     void loseOperation();
     void recordFailure(const Endpoint &address, const std::string &cause, const Yield &yield);
 
--- a/packages/daemon/src/upstreamclient.cpp
+++ b/packages/daemon/src/upstreamclient.cpp
@@ -1,5 +1,7 @@
 #include "upstreamclient.h"
 
+#include "net/idlesocket.h"
+
 #include <algorithm>
 
 namespace mustardpond {
@@ -8,15 +10,6 @@
 
 constexpr std::size_t MAX_IDLE = 64;
 
-bool isStale(beast::tcp_stream &stream)
-{
-    ErrorCode error;
-    char byte = 0;
-    stream.socket().non_blocking(true, error);
-    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error != asio::error::would_block;
-}
-
 } // namespace
 
 UpstreamExchange::UpstreamExchange(std::unique_ptr<beast::tcp_stream> stream, bool reused)
@@ -132,7 +125,7 @@
     while (!idle.empty()) {
         auto stream = std::move(idle.back());
         idle.pop_back();
-        if (!isStale(*stream)) {
+        if (!isStale(stream->socket())) {
             return stream;
         }
     }
--- a/packages/decision/bench/detection_main.cpp
+++ b/packages/decision/bench/detection_main.cpp
@@ -174,10 +174,12 @@
 {
     constexpr std::array<double, 7> COSTS = {0.05, 0.2, 1, 10, 50, 200, 1000};
     std::vector<std::future<CurvePoint>> pending;
+    pending.reserve(COSTS.size());
     for (const double cost : COSTS) {
         pending.push_back(std::async(std::launch::async, measureProfile, cost, options));
     }
     std::vector<CurvePoint> points;
+    points.reserve(COSTS.size());
     for (auto &point : pending) {
         points.push_back(point.get());
         std::cout << fmt::format("cost {:>6}: half-failing upstreams p99 {:>6.0f} ms, false ejections {:.2f}/h\n",
