--- a/packages/wire/fuzz/frames_fuzz.cpp
+++ b/packages/membership/fuzz/frames_fuzz.cpp
@@ -54,6 +54,7 @@
 
 } // namespace
 
+// NOLINTNEXTLINE(readability-identifier-naming): libFuzzer calls it by this name
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
     const std::string_view bytes(reinterpret_cast<const char *>(data), size);
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -1,18 +1,12 @@
 #!/usr/bin/env bash
 # Fuzzes the frames between the processes with libFuzzer, the address and the undefined-behaviour sanitizer: a bounded
-# number of runs with a fixed seed. Takes the number of runs as its argument.
+# number of runs with a fixed seed. Takes the number of runs as its argument. scripts/setup.sh installs what it needs.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 RUNS=${1:-200000}
 OUT=out/fuzz
 rm -rf "$OUT"
 mkdir -p "$OUT/seeds"
-PACKAGES=(clang libclang-rt-14-dev)
-if ! dpkg-query -W -f='${Status}\n' "${PACKAGES[@]}" 2>/dev/null | grep -vq 'ok installed'; then
-    :
-else
-    DEBIAN_FRONTEND=noninteractive apt-get install -y -qq --no-install-recommends "${PACKAGES[@]}" >/dev/null
-fi
 FLAGS=(-std=c++17 -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=undefined)
 for package in foundation wire decision config membership; do
     FLAGS+=(-Ipackages/$package/include)
@@ -20,9 +14,9 @@
 FLAGS+=(-DSPDLOG_FMT_EXTERNAL)
 SOURCES=(packages/foundation/src/random.cpp packages/wire/src/*.cpp packages/decision/src/operationid.cpp
     packages/config/src/objecttable.cpp packages/membership/src/*.cpp)
-clang++ "${FLAGS[@]}" packages/wire/fuzz/seeds_main.cpp packages/wire/src/*.cpp -lfmt -o "$OUT/seeds-writer"
+clang++ "${FLAGS[@]}" packages/membership/fuzz/seeds_main.cpp packages/wire/src/*.cpp -lfmt -o "$OUT/seeds-writer"
 "$OUT/seeds-writer" "$OUT/seeds"
-clang++ "${FLAGS[@]}" -fsanitize=fuzzer packages/wire/fuzz/frames_fuzz.cpp "${SOURCES[@]}" -lfmt -lxxhash -o "$OUT/frames-fuzz"
+clang++ "${FLAGS[@]}" -fsanitize=fuzzer packages/membership/fuzz/frames_fuzz.cpp "${SOURCES[@]}" -lfmt -lxxhash -o "$OUT/frames-fuzz"
 "$OUT/frames-fuzz" -seed=1 -runs="$RUNS" -max_len=4096 -timeout=10 -artifact_prefix="$OUT/" "$OUT/seeds" 2>"$OUT/log" || {
     tail -40 "$OUT/log"
     echo "FAILED: fuzz: see $OUT"
