--- a/packages/daemon/src/callersession.cpp
+++ b/packages/daemon/src/callersession.cpp
@@ -7,6 +7,7 @@
 #include "foundation/events.h"
 #include "httprules.h"
 #include "operationopener.h"
+#include "regionbytes.h"
 #include "router.h"
 
 #include <nlohmann/json.hpp>
@@ -97,6 +98,7 @@
     while (m_open && readHead(yield)) {
         m_busy = true;
         handle(yield);
+        releaseBuffer();
         m_busy = false;
         m_idleSince = m_router.clock().now();
     }
@@ -334,11 +336,18 @@
         m_router.reportHeld(request.service, request.workClass.name);
     }
     if (result.answer.outcome == wire::Outcome::Ran) {
-        return replyRan(result, yield);
+        return replyRan(request, result, yield);
     }
     replyOutcome(statusOf(result.answer), result.answer, yield);
 }
 
+void CallerSession::releaseBuffer()
+{
+    if (m_buffer.capacity() >= PIECE_BYTES) {
+        m_buffer.shrink_to_fit();
+    }
+}
+
 void CallerSession::record(const CallerRequest &request, const DispatchResult &result, Millis startedAt)
 {
     const Millis now = m_router.clock().now();
@@ -358,7 +367,7 @@
     m_router.burn().add(served, now);
 }
 
-void CallerSession::replyRan(DispatchResult &result, const Yield &yield)
+void CallerSession::replyRan(const CallerRequest &request, DispatchResult &result, const Yield &yield)
 {
     const wire::AnswerT &answer = result.answer;
     http::response<http::buffer_body> response;
@@ -372,6 +381,7 @@
     response.keep_alive(keepAlive());
     const bool isHead = m_parser->get().method() == http::verb::head;
     if (answer.streamed) {
+        const RegionBytes count(m_router.metrics(), request.organisation, *result.channel, result.spilled);
         return replyStreamed(result, response, yield);
     }
     const bool bodyless = answer.status == 204 || answer.status == 304;
--- a/packages/daemon/src/callersession.h
+++ b/packages/daemon/src/callersession.h
@@ -38,8 +38,10 @@
     bool readBody(CallerRequest &request, const Yield &yield);
     void takeHeaders(CallerRequest &request) const;
     void reply(const CallerRequest &request, DispatchResult result, Millis startedAt, const Yield &yield);
-    void replyRan(DispatchResult &result, const Yield &yield);
+    void replyRan(const CallerRequest &request, DispatchResult &result, const Yield &yield);
     void replyStreamed(DispatchResult &result, http::response<http::buffer_body> &response, const Yield &yield);
+    /// Gives back what a large body needed; most connections are idle.
+    void releaseBuffer();
     CallerBody bodyReader();
     void replyProblem(http::status status, const std::string &detail, const Yield &yield);
     void replyOutcome(http::status status, const wire::AnswerT &answer, const Yield &yield);
--- a/packages/daemon/src/dispatch.cpp
+++ b/packages/daemon/src/dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "bodydigest.h"
 #include "httprules.h"
+#include "regionbytes.h"
 #include "silencewatch.h"
 
 #include "foundation/errors.h"
@@ -146,6 +147,7 @@
         gate = known;
         UpstreamRef ref;
         ref.gate = gate;
+        ref.distance = distanceTo(*m_shared.table.view(), id->gate);
         Attempt attempt = attemptAt(ref, fresh, yield);
         fresh = attempt.failed;
         m_maybeRan = m_maybeRan || (attempt.failed && attempt.reached);
@@ -249,6 +251,8 @@
 
 void Dispatch::exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield)
 {
+    const bool crosses = ref.distance == Distance::OtherRegion;
+    const RegionBytes count(m_shared.metrics, m_request.organisation, channel, crosses);
     const std::uint64_t number = attempt.answer.request;
     const std::string bytes = packMessage(message(ref, number));
     attempt.reached = true;
@@ -264,9 +268,6 @@
         throw BadFrame("an answer's body does not match its digest: check the link between the daemons");
     }
     attempt.answer = std::move(answer);
-    if (ref.distance == Distance::OtherRegion) {
-        m_shared.metrics.addRegionBytes(m_request.organisation, bytes.size() + attempt.answer.body.size());
-    }
 }
 
 wire::AnswerT Dispatch::receiveAnswer(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield)
--- a/packages/daemon/src/fleetview.cpp
+++ b/packages/daemon/src/fleetview.cpp
@@ -43,4 +43,14 @@
     return {};
 }
 
+Distance distanceTo(const FleetView &view, const Incarnation &incarnation)
+{
+    for (const Member &member : view.members) {
+        if (member.incarnation == incarnation) {
+            return distanceBetween(view.self, member);
+        }
+    }
+    return Distance::SameDataCentre;
+}
+
 } // namespace mustardpond
--- a/packages/daemon/src/fleetview.h
+++ b/packages/daemon/src/fleetview.h
@@ -24,6 +24,7 @@
 };
 
 struct FleetView {
+    Member self;
     std::shared_ptr<const ConfigSnapshot> config;
     std::vector<Member> members;
     std::unordered_map<std::string, std::vector<UpstreamRef>> upstreams; ///< by service
@@ -37,4 +38,7 @@
 /// The inner address of the daemon with this incarnation; empty when it is not known.
 std::string addressOf(const FleetView &view, const Incarnation &incarnation);
 
+/// How far the daemon with this incarnation is; in the same data centre when it is not known.
+Distance distanceTo(const FleetView &view, const Incarnation &incarnation);
+
 } // namespace mustardpond
--- a/packages/daemon/src/framechannel.cpp
+++ b/packages/daemon/src/framechannel.cpp
@@ -17,6 +17,7 @@
 {
     m_stream.expires_after(toDuration(timeout));
     asio::async_write(m_stream, asio::buffer(bytes), yield);
+    m_bytes += bytes.size();
     m_stream.expires_never();
 }
 
@@ -27,6 +28,7 @@
     asio::async_read(m_stream, asio::buffer(header), yield);
     m_body.resize(bodyLength(header));
     asio::async_read(m_stream, asio::buffer(m_body), yield);
+    m_bytes += header.size() + m_body.size();
     m_stream.expires_never();
     m_reused = true;
     return parseFrame(m_body);
--- a/packages/daemon/src/framechannel.h
+++ b/packages/daemon/src/framechannel.h
@@ -25,6 +25,11 @@
     {
         return m_stream.socket();
     }
+    /// Bytes carried in both directions so far.
+    std::uint64_t bytes() const
+    {
+        return m_bytes;
+    }
     /// Whether a frame has come in before, so that the connection is not new.
     bool isReused() const
     {
@@ -35,6 +40,7 @@
 private:
     beast::tcp_stream m_stream;
     std::string m_body;
+    std::uint64_t m_bytes = 0;
     bool m_reused = false;
 };
 
--- a/packages/daemon/src/memberactor.cpp
+++ b/packages/daemon/src/memberactor.cpp
@@ -181,6 +181,7 @@
             m_config = m_builder.build();
         }
         view->config = m_config;
+        view->self = m_membership.self();
         view->members = m_membership.members();
         view->upstreams = listUpstreams(view->members, m_membership.self());
         view->configured = m_configured;
