--- a/packages/ctl/src/burnpage.cpp
+++ b/packages/ctl/src/burnpage.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr double MS_PER_MINUTE = 60000;
 constexpr int BAR_HEIGHT_PX = 18;
 constexpr int BAR_STEP_PX = 26;
 constexpr int LABEL_WIDTH_PX = 70;
@@ -56,11 +55,6 @@
     return LABEL_WIDTH_PX + std::min(rate, GREATEST_RATE) / GREATEST_RATE * PLOT_WIDTH_PX;
 }
 
-double minutes(std::size_t window)
-{
-    return BURN_WINDOWS.at(window).value / MS_PER_MINUTE;
-}
-
 std::string plot(const ClassBurn &burn)
 {
     const auto height = BAR_STEP_PX * BURN_WINDOWS.size();
@@ -69,7 +63,7 @@
     for (std::size_t index = 0; index < BURN_WINDOWS.size(); ++index) {
         const double rate = burnRate(burn.windows.at(index).window.counts, burn.successTarget);
         const auto top = BAR_STEP_PX * index;
-        svg += fmt::format("<text x=\"0\" y=\"{}\">{} min</text>\n", top + 14, minutes(index));
+        svg += fmt::format("<text x=\"0\" y=\"{}\">{} min</text>\n", top + 14, windowMinutes(index));
         svg += fmt::format("<rect x=\"{}\" y=\"{}\" width=\"{:.1f}\" height=\"{}\" fill=\"{}\"/>\n", LABEL_WIDTH_PX,
                            top, xOf(rate) - LABEL_WIDTH_PX, BAR_HEIGHT_PX, rate > 1 ? "#b3261e" : "#2e7d32");
         svg += fmt::format("<text x=\"{:.1f}\" y=\"{}\">{:.2f}</text>\n", xOf(rate) + 6, top + 14, rate);
@@ -85,9 +79,10 @@
                         "<th>held</th><th>refused</th></tr>\n";
     for (std::size_t index = 0; index < BURN_WINDOWS.size(); ++index) {
         const BurnCounts &counts = burn.windows.at(index).window.counts;
-        table += fmt::format(
-            "<tr><td>{} min</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td></tr>\n",
-            minutes(index), counts.requests, counts.good, counts.retried, counts.spilled, counts.held, counts.refused);
+        table +=
+            fmt::format("<tr><td>{} min</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td><td>{}</td></tr>\n",
+                        windowMinutes(index), counts.requests, counts.good, counts.retried, counts.spilled, counts.held,
+                        counts.refused);
     }
     return table + "</table>\n";
 }
--- a/packages/ctl/src/burnreport.cpp
+++ b/packages/ctl/src/burnreport.cpp
@@ -1,5 +1,7 @@
 #include "burnreport.h"
 
+#include "config/burnjson.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -8,24 +10,10 @@
 
 namespace {
 
-constexpr double MS_PER_MINUTE = 60000;
-
-BurnCounts countsFrom(const nlohmann::json &window)
-{
-    BurnCounts counts;
-    counts.requests = window.at("requests");
-    counts.good = window.at("good");
-    counts.retried = window.at("retried");
-    counts.spilled = window.at("spilled");
-    counts.held = window.at("held");
-    counts.refused = window.at("refused");
-    return counts;
-}
-
 void addWindow(FleetWindow &sum, const nlohmann::json &document)
 {
     BurnWindow part;
-    part.counts = countsFrom(document);
+    part.counts = burnCountsFrom(document);
     for (const auto &entry : document.at("badBy")) {
         const std::string upstream = entry.at("upstream");
         part.badBy[upstream] = entry.at("bad");
@@ -40,23 +28,16 @@
     for (const auto &[upstream, bad] : window.window.badBy) {
         badBy.push_back({{"upstream", upstream}, {"dataCentre", window.dataCentres.at(upstream)}, {"bad", bad}});
     }
-    const BurnCounts &counts = window.window.counts;
-    return {{"windowMs", length.value},
-            {"requests", counts.requests},
-            {"good", counts.good},
-            {"retried", counts.retried},
-            {"spilled", counts.spilled},
-            {"held", counts.held},
-            {"refused", counts.refused},
-            {"burnRate", burnRate(counts, successTarget)},
-            {"badBy", badBy}};
+    nlohmann::json document = toJson(window.window.counts, length, successTarget);
+    document["badBy"] = badBy;
+    return document;
 }
 
 std::string rowText(const std::string &name, const ClassBurn &burn, std::size_t index)
 {
     const BurnCounts &counts = burn.windows.at(index).window.counts;
     return fmt::format("{:<28} {:>8} {:>5} min {:>10} {:>10} {:>8.2f} {:>8} {:>8} {:>8} {:>8}\n", name,
-                       burn.successTarget, BURN_WINDOWS.at(index).value / MS_PER_MINUTE, counts.requests, counts.good,
+                       burn.successTarget, windowMinutes(index), counts.requests, counts.good,
                        burnRate(counts, burn.successTarget), counts.retried, counts.spilled, counts.held,
                        counts.refused);
 }
@@ -75,6 +56,12 @@
     }
 }
 
+double windowMinutes(std::size_t window)
+{
+    constexpr double MS_PER_MINUTE = 60000;
+    return BURN_WINDOWS.at(window).value / MS_PER_MINUTE;
+}
+
 double budgetLeft(const ClassBurn &burn)
 {
     return std::max(0.0, 1 - burnRate(burn.windows.back().window.counts, burn.successTarget));
--- a/packages/ctl/src/burnreport.h
+++ b/packages/ctl/src/burnreport.h
@@ -28,6 +28,9 @@
 /// Adds what one daemon serves at /burn.
 void addBurn(BurnByClass &sum, const nlohmann::json &document);
 
+/// Length of a window of BURN_WINDOWS in minutes.
+double windowMinutes(std::size_t window);
+
 /// Share of the slowest window's budget that is left, in [0, 1].
 double budgetLeft(const ClassBurn &burn);
 
--- a/packages/daemon/src/callerbody.cpp
+++ b/packages/daemon/src/callerbody.cpp
@@ -1,22 +1,19 @@
 #include "callerbody.h"
 
 #include "foundation/bytes.h"
+#include "net/bodybuffer.h"
 
 namespace mustardpond {
 
 namespace {
 
 constexpr std::size_t PIECE_BYTES = 64 * KIB;
-constexpr std::uint64_t SMALL_BODY_BYTES = 4 * KIB;
 
 } // namespace
 
 bool CallerBody::next(std::vector<std::uint8_t> &piece, const Yield &yield)
 {
-    // Beast reads no more at once than the buffer holds, and that starts with 512 bytes.
-    if (m_parser.content_length_remaining().value_or(PIECE_BYTES) > SMALL_BODY_BYTES) {
-        m_buffer.reserve(PIECE_BYTES);
-    }
+    reserveForBody(m_buffer, m_parser, PIECE_BYTES);
     piece.resize(PIECE_BYTES);
     auto &body = m_parser.get().body();
     body.data = piece.data();
--- a/packages/daemon/src/dispatch.cpp
+++ b/packages/daemon/src/dispatch.cpp
@@ -137,18 +137,15 @@
     }
     m_shared.table.retryBudget(m_request.service).onFirstTry();
     bool fresh = false;
-    std::string gate;
+    UpstreamRef gate;
     while (remaining() > Millis()) {
-        const std::string known = addressOf(*m_shared.table.view(), id->gate);
-        if (known.empty()) {
+        const auto known = findGate(*m_shared.table.view(), id->gate);
+        if (!known) {
             pause(OPERATION_PAUSE, yield);
             continue;
         }
-        gate = known;
-        UpstreamRef ref;
-        ref.gate = gate;
-        ref.distance = distanceTo(*m_shared.table.view(), id->gate);
-        Attempt attempt = attemptAt(ref, fresh, yield);
+        gate = *known;
+        Attempt attempt = attemptAt(gate, fresh, yield);
         fresh = attempt.failed;
         m_maybeRan = m_maybeRan || (attempt.failed && attempt.reached);
         const bool wait = attempt.failed || attempt.answer.reason == wire::NotRunReason::Busy;
@@ -169,7 +166,7 @@
     if (conclusive) {
         return;
     }
-    closeOperation(gate, yield);
+    closeOperation(gate.gate, yield);
 }
 
 void Dispatch::closeOperation(const std::string &gate, const Yield &yield)
@@ -186,9 +183,7 @@
         close.request = ++m_shared.nextRequest;
         close.operation = m_request.operation;
         close.organisation = m_request.organisation;
-        const std::uint64_t number = close.request;
-        channel->send(packMessage(std::move(close)), CLOSE_TIMEOUT, yield);
-        const auto reply = channel->receiveFor<wire::AnswerT>(number, CLOSE_TIMEOUT, yield);
+        const auto reply = channel->ask<wire::AnswerT>(std::move(close), CLOSE_TIMEOUT, yield);
         if (reply.outcome == wire::Outcome::NotRun) {
             settleNotRun(static_cast<NotRunReason>(reason), detail.empty() ? "closed at the deadline" : detail);
         }
@@ -277,11 +272,10 @@
     }
     const Millis limit = m_request.workClass.latencyTarget * SILENCE_SHARE;
     const SilenceWatch watch(m_shared.context, limit, [this, &channel, &attempt] {
-        attempt.silent = m_shared.table.retryBudget(m_request.service).takeRetry();
+        attempt.silent = !isSuspect() && m_shared.table.retryBudget(m_request.service).takeRetry();
         if (attempt.silent) {
             channel.close();
         }
-        return attempt.silent;
     });
     return channel.receiveFor<wire::AnswerT>(number, attemptTimeout(), yield);
 }
@@ -289,7 +283,7 @@
 bool Dispatch::mayMove(const FrameChannel &channel) const
 {
     const bool repeatable = m_request.workClass.kind != WorkKind::Irreversible || !m_request.operation.empty();
-    return channel.isReused() && repeatable && !m_request.source && !isSuspect();
+    return channel.isReused() && repeatable && !m_request.source;
 }
 
 void Dispatch::sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield)
--- a/packages/daemon/src/fleetview.cpp
+++ b/packages/daemon/src/fleetview.cpp
@@ -33,24 +33,19 @@
     return byService;
 }
 
-std::string addressOf(const FleetView &view, const Incarnation &incarnation)
+std::optional<UpstreamRef> findGate(const FleetView &view, const Incarnation &incarnation)
 {
     for (const Member &member : view.members) {
         if (member.incarnation == incarnation) {
-            return member.inner;
+            UpstreamRef gate;
+            gate.node = member.node;
+            gate.gate = member.inner;
+            gate.incarnation = incarnation;
+            gate.distance = distanceBetween(view.self, member);
+            return gate;
         }
     }
-    return {};
-}
-
-Distance distanceTo(const FleetView &view, const Incarnation &incarnation)
-{
-    for (const Member &member : view.members) {
-        if (member.incarnation == incarnation) {
-            return distanceBetween(view.self, member);
-        }
-    }
-    return Distance::SameDataCentre;
+    return std::nullopt;
 }
 
 } // namespace mustardpond
--- a/packages/daemon/src/fleetview.h
+++ b/packages/daemon/src/fleetview.h
@@ -6,6 +6,7 @@
 #include "membership/member.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -35,10 +36,7 @@
 std::unordered_map<std::string, std::vector<UpstreamRef>> listUpstreams(const std::vector<Member> &members,
                                                                         const Member &self);
 
-/// The inner address of the daemon with this incarnation; empty when it is not known.
-std::string addressOf(const FleetView &view, const Incarnation &incarnation);
-
-/// How far the daemon with this incarnation is; in the same data centre when it is not known.
-Distance distanceTo(const FleetView &view, const Incarnation &incarnation);
+/// Where the gate of the daemon with this incarnation is, without an upstream; nothing when it is not known.
+std::optional<UpstreamRef> findGate(const FleetView &view, const Incarnation &incarnation);
 
 } // namespace mustardpond
--- a/packages/daemon/src/framechannel.h
+++ b/packages/daemon/src/framechannel.h
@@ -21,6 +21,10 @@
     template <typename Message>
     Message receiveFor(std::uint64_t request, Millis timeout, const Yield &yield);
 
+    /// Sends a small request and receives the reply to it. The time is for each of the two.
+    template <typename Reply, typename Request>
+    Reply ask(Request request, Millis timeout, const Yield &yield);
+
     tcp::socket &socket()
     {
         return m_stream.socket();
@@ -61,4 +65,12 @@
     return std::move(*message);
 }
 
+template <typename Reply, typename Request>
+Reply FrameChannel::ask(Request request, Millis timeout, const Yield &yield)
+{
+    const std::uint64_t number = request.request;
+    send(packMessage(std::move(request)), timeout, yield);
+    return receiveFor<Reply>(number, timeout, yield);
+}
+
 } // namespace mustardpond
--- a/packages/daemon/src/gaterun.cpp
+++ b/packages/daemon/src/gaterun.cpp
@@ -248,19 +248,20 @@
 bool GateRun::exchangeUnlessSilent(const Yield &yield)
 {
     const Millis limit = m_gate.judgeOf(m_servedBy).badAbove(m_request.workClass) * SILENCE_SHARE;
-    const SilenceWatch watch(m_gate.context, limit, [this] { return isSilent(); });
+    bool silent = false;
+    const SilenceWatch watch(m_gate.context, limit, [this, &silent] { silent = giveUpIfSilent(); });
     try {
         exchangeOnce(*m_exchange, yield);
         return true;
     } catch (const boost::system::system_error &) {
-        if (!watch.gaveUp()) {
+        if (!silent) {
             throw;
         }
         return false;
     }
 }
 
-bool GateRun::isSilent()
+bool GateRun::giveUpIfSilent()
 {
     if (m_headReceived || m_exchange->isCancelled() || !m_gate.resends.takeRetry()) {
         return false;
--- a/packages/daemon/src/gaterun.h
+++ b/packages/daemon/src/gaterun.h
@@ -29,7 +29,8 @@
     void exchange(LocalUpstream &upstream, std::uint64_t number, const Yield &yield);
     bool exchangeUnlessSilent(const Yield &yield);
     void exchangeOnce(UpstreamExchange &exchange, const Yield &yield);
-    bool isSilent();
+    /// Closes the connection if no answer has begun and the budget allows another try. Tells whether it did.
+    bool giveUpIfSilent();
     bool mayMove() const;
     void sendRequest(UpstreamExchange &exchange, const Yield &yield);
     void relayUpload(UpstreamExchange &exchange, const Yield &yield);
--- a/packages/daemon/src/localendpoint.cpp
+++ b/packages/daemon/src/localendpoint.cpp
@@ -1,5 +1,6 @@
 #include "localendpoint.h"
 
+#include "config/burnjson.h"
 #include "foundation/errors.h"
 
 #include <nlohmann/json.hpp>
@@ -31,16 +32,9 @@
     for (const auto &[upstream, bad] : window.badBy) {
         badBy.push_back({{"upstream", upstream}, {"dataCentre", dataCentreOf(view, upstream)}, {"bad", bad}});
     }
-    const BurnCounts &counts = window.counts;
-    return {{"windowMs", length.value},
-            {"requests", counts.requests},
-            {"good", counts.good},
-            {"retried", counts.retried},
-            {"spilled", counts.spilled},
-            {"held", counts.held},
-            {"refused", counts.refused},
-            {"burnRate", burnRate(counts, successTarget)},
-            {"badBy", badBy}};
+    nlohmann::json document = toJson(window.counts, length, successTarget);
+    document["badBy"] = badBy;
+    return document;
 }
 
 } // namespace
--- a/packages/daemon/src/operationopener.cpp
+++ b/packages/daemon/src/operationopener.cpp
@@ -43,9 +43,7 @@
         open.organisation = m_request.organisation;
         open.workClass = m_request.workClass.name;
         open.mustServe = m_mustServe;
-        const std::uint64_t number = open.request;
-        channel->send(packMessage(std::move(open)), EXCHANGE_TIMEOUT, yield);
-        auto reply = channel->receiveFor<wire::OperationOpenedT>(number, EXCHANGE_TIMEOUT, yield);
+        auto reply = channel->ask<wire::OperationOpenedT>(std::move(open), EXCHANGE_TIMEOUT, yield);
         m_shared.pool.giveBack(gate, std::move(channel));
         return reply.operation;
     } catch (const boost::system::system_error &) {
--- a/packages/daemon/src/silencewatch.cpp
+++ b/packages/daemon/src/silencewatch.cpp
@@ -9,17 +9,12 @@
     m_state->timer.expires_after(toDuration(limit));
     m_state->timer.async_wait([state = m_state](ErrorCode error) {
         if (!error && state->onLimit) {
-            state->gaveUp = state->onLimit();
+            state->onLimit();
         }
     });
 }
 
 SilenceWatch::~SilenceWatch()
-{
-    disarm();
-}
-
-void SilenceWatch::disarm()
 {
     m_state->onLimit = nullptr;
     m_state->timer.cancel();
--- a/packages/daemon/src/silencewatch.h
+++ b/packages/daemon/src/silencewatch.h
@@ -8,25 +8,18 @@
 
 namespace mustardpond {
 
-/// Calls a handler when the time is up, unless it was disarmed or destroyed before. The handler decides whether the
+/// Calls a handler when the time is up, unless the watch is destroyed before. The handler decides whether the
 /// connection is given up for silent.
 class SilenceWatch
 {
 public:
-    using Handler = std::function<bool()>;
+    using Handler = std::function<void()>;
 
     SilenceWatch(asio::io_context &context, Millis limit, Handler onLimit);
     ~SilenceWatch();
     SilenceWatch(const SilenceWatch &) = delete;
     SilenceWatch &operator=(const SilenceWatch &) = delete;
 
-    void disarm();
-    /// Whether the handler gave the connection up.
-    bool gaveUp() const
-    {
-        return m_state->gaveUp;
-    }
-
 private:
     struct State {
         explicit State(asio::io_context &context)
@@ -35,8 +28,7 @@
         }
 
         asio::steady_timer timer;
-        Handler onLimit; ///< empty once disarmed
-        bool gaveUp = false;
+        Handler onLimit; ///< empty once the watch has ended
     };
 
     std::shared_ptr<State> m_state;
--- a/packages/daemon/src/upstreamclient.cpp
+++ b/packages/daemon/src/upstreamclient.cpp
@@ -1,6 +1,6 @@
 #include "upstreamclient.h"
 
-#include "foundation/bytes.h"
+#include "net/bodybuffer.h"
 #include "net/idlesocket.h"
 
 #include <algorithm>
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::size_t MAX_IDLE = 64;
-constexpr std::size_t SMALL_ANSWER_BYTES = 4 * KIB;
 
 } // namespace
 
@@ -48,7 +47,7 @@
 {
     m_parser.emplace();
     m_parser->body_limit(UNLIMITED_BYTES);
-    m_buffer.reserve(SMALL_ANSWER_BYTES);
+    m_buffer.reserve(SMALL_BODY_BYTES);
     m_stream->expires_after(toDuration(timeout));
     if (m_request->method() == http::verb::head) {
         m_parser->skip(true);
@@ -61,10 +60,7 @@
     if (m_parser->is_done()) {
         return false;
     }
-    // Beast reads no more at once than the buffer holds.
-    if (m_parser->content_length_remaining().value_or(limit) > SMALL_ANSWER_BYTES) {
-        m_buffer.reserve(limit);
-    }
+    reserveForBody(m_buffer, *m_parser, limit);
     const std::size_t before = body.size();
     body.resize(before + limit);
     m_parser->get().body().data = body.data() + before;
--- a/packages/decision/bench/detection_main.cpp
+++ b/packages/decision/bench/detection_main.cpp
@@ -85,9 +85,8 @@
 
 void printChange(std::uint64_t seed, Millis at, std::size_t router, const HealthChange &change)
 {
-    static constexpr std::array<const char *, 4> KINDS = {"ejected", "returned", "held-by-floor", "shared-cause"};
     std::cout << fmt::format("seed {} at {:.0f} ms: router {} {} upstream {} class {} score {:.1f}\n", seed, at.value,
-                             router, KINDS.at(static_cast<std::size_t>(change.kind)), change.upstream, change.workClass,
+                             router, nameOf(HEALTH_CHANGE_KIND_NAMES, change.kind), change.upstream, change.workClass,
                              change.score);
 }
 
--- a/packages/decision/include/decision/detector.h
+++ b/packages/decision/include/decision/detector.h
@@ -29,6 +29,13 @@
 
 enum class HealthChangeKind : std::uint8_t { Ejected, Returned, HeldByFloor, SharedCause };
 
+constexpr EnumTable<HealthChangeKind, 4> HEALTH_CHANGE_KIND_NAMES = {{
+    {HealthChangeKind::Ejected, "ejected"},
+    {HealthChangeKind::Returned, "returned"},
+    {HealthChangeKind::HeldByFloor, "held-by-floor"},
+    {HealthChangeKind::SharedCause, "shared-cause"},
+}};
+
 /// A decision that operators should see.
 struct HealthChange {
     HealthChangeKind kind;
