--- a/packages/config/include/config/configsnapshot.h
+++ b/packages/config/include/config/configsnapshot.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -15,18 +16,25 @@
 
 /// Where a request goes.
 struct RoutedWork {
-    const ServiceObject *service = nullptr;
+    const RouteObject *route = nullptr;
+    const ServiceObject *service = nullptr; ///< of the route's first part
     const WorkClass *workClass = nullptr;
 };
 
 class ConfigSnapshot
 {
 public:
-    /// The most specific route for the path and method; both members are null when there is none.
-    RoutedWork route(std::string_view path, std::string_view method) const;
+    /// The most specific route for the path and method; all members are null when there is none. Routes of the host go
+    /// before routes of any host.
+    RoutedWork route(std::string_view path, std::string_view method, std::string_view host = {}) const;
 
     const ServiceObject *service(const std::string &name) const;
     const WorkClass *workClass(const std::string &name) const;
+    /// Nothing when the configuration does not limit callers.
+    const std::optional<CallerLimits> &callerLimits() const
+    {
+        return m_callerLimits;
+    }
     const std::vector<ApprovedRefusal> &refusals() const
     {
         return m_refusals;
@@ -52,9 +60,13 @@
 private:
     friend class ConfigBuilder;
 
+    RoutedWork routeAt(std::string_view host, std::string_view prefix, std::string_view method) const;
+    RoutedWork routeOfHost(std::string_view host, std::string_view path, std::string_view method) const;
+
     std::unordered_map<std::string, ServiceObject> m_services;
     std::unordered_map<std::string, WorkClass> m_workClasses;
-    std::unordered_map<std::string, std::vector<RouteObject>> m_routes; ///< by prefix
+    std::unordered_map<std::string, std::vector<RouteObject>> m_routes; ///< by host and prefix
+    std::optional<CallerLimits> m_callerLimits;
     std::vector<ApprovedRefusal> m_refusals;
     std::unordered_map<std::string, std::uint64_t> m_versions;
     std::size_t m_routeCount = 0;
@@ -81,6 +93,7 @@
     using ByName = std::unordered_map<std::string, Parsed>;
 
     void parse(ObjectKind kind, const StoredObject &object);
+    void replaceAll(BundleObject bundle);
     void remove(ObjectKind kind, const std::string &name);
 
     InvalidObjectHandler m_onInvalid;
@@ -88,6 +101,7 @@
     ByName<WorkClass> m_workClasses;
     ByName<RouteObject> m_routes;
     ByName<RefusalObject> m_refusals;
+    std::optional<CallerLimits> m_callerLimits;
     std::unordered_map<std::string, std::uint64_t> m_versions;
 };
 
--- a/packages/config/include/config/daemonsettings.h
+++ b/packages/config/include/config/daemonsettings.h
@@ -3,9 +3,11 @@
 
 #include "foundation/bytes.h"
 #include "foundation/clock.h"
+#include "foundation/enumtable.h"
 #include "foundation/events.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,10 +34,48 @@
     Millis stopGrace{30000}; ///< longest wait for requests in flight at a planned stop
 };
 
+/// Whose words callers, upstreams and the platform speak.
+enum class Dialect : std::uint8_t { Own, Platform };
+
+constexpr EnumTable<Dialect, 2> DIALECT_NAMES = {{{Dialect::Own, "own"}, {Dialect::Platform, "platform"}}};
+
+/// Who finds failing upstreams.
+enum class Detection : std::uint8_t {
+    Statistical, ///< routers and gates, by sequential tests; for some tens of requests a second at each upstream
+    Gates, ///< the gates, by the newest few requests; for a few requests a second at each upstream
+};
+
+constexpr EnumTable<Detection, 2> DETECTION_NAMES = {
+    {{Detection::Statistical, "statistical"}, {Detection::Gates, "gates"}}};
+
+/// Who decides that a request is turned away.
+enum class RefusalPolicy : std::uint8_t {
+    Director, ///< a named director, beforehand; requests are held until then
+    Prompt ///< the router, at once, when the request cannot be served in time
+};
+
+constexpr EnumTable<RefusalPolicy, 2> REFUSAL_POLICY_NAMES = {
+    {{RefusalPolicy::Director, "director"}, {RefusalPolicy::Prompt, "prompt"}}};
+
+/// Bounds of the retries of the whole fleet for a service, in any window of the given length.
+struct FleetRetryLimits {
+    double share = 0.12; ///< of the service's requests
+    double extra = 0; ///< retries besides, shared by all daemons
+    Millis window{10000};
+};
+
 struct DaemonSettings {
     std::string node;
     std::string region;
     std::string dataCentre;
+    Dialect dialect = Dialect::Own;
+    RefusalPolicy refusal = RefusalPolicy::Director;
+    Detection detection = Detection::Statistical;
+    std::string service; ///< of the upstream beside this daemon; empty when it is not told
+    std::optional<Endpoint> upstream; ///< the only address that an upstream may announce, if told
+    std::optional<Endpoint> ready; ///< where readiness is asked for, besides the local address
+    std::optional<Endpoint> metrics; ///< where metrics are asked for, besides the local address
+    FleetRetryLimits retries;
     Endpoint caller; ///< where callers connect
     Endpoint inner; ///< where other daemons connect
     Endpoint advertisedInner; ///< what other daemons are told; the same unless the host is behind a relay
--- a/packages/config/src/configsnapshot.cpp
+++ b/packages/config/src/configsnapshot.cpp
@@ -26,29 +26,56 @@
     return path.substr(0, path.find('?'));
 }
 
+/// The next shorter prefix: "/a/b" gives "/a/", and that "/a".
 std::string_view parentOf(std::string_view path)
 {
+    if (path.size() > 1 && path.back() == '/') {
+        return path.substr(0, path.size() - 1);
+    }
     const auto slash = path.rfind('/');
     if (slash == std::string_view::npos || path == "/") {
         return {};
     }
-    return slash == 0 ? path.substr(0, 1) : path.substr(0, slash);
+    return path.substr(0, slash + 1);
+}
+
+std::string routeKey(std::string_view host, std::string_view prefix)
+{
+    std::string key(host);
+    key += ' ';
+    key += prefix;
+    return key;
 }
 
 } // namespace
 
-RoutedWork ConfigSnapshot::route(std::string_view path, std::string_view method) const
+RoutedWork ConfigSnapshot::route(std::string_view path, std::string_view method, std::string_view host) const
+{
+    const RoutedWork work = routeOfHost(host, path, method);
+    return work.route || host.empty() ? work : routeOfHost({}, path, method);
+}
+
+RoutedWork ConfigSnapshot::routeOfHost(std::string_view host, std::string_view path, std::string_view method) const
 {
     for (std::string_view prefix = withoutQuery(path); !prefix.empty(); prefix = parentOf(prefix)) {
-        const auto found = m_routes.find(std::string(prefix));
-        if (found == m_routes.end()) {
-            continue;
+        const RoutedWork work = routeAt(host, prefix, method);
+        if (work.route) {
+            return work;
         }
-        for (const RouteObject &route : found->second) {
-            const RoutedWork work{service(route.service), workClass(route.workClass)};
-            if (takesMethod(route, method) && work.service && work.workClass) {
-                return work;
-            }
+    }
+    return {};
+}
+
+RoutedWork ConfigSnapshot::routeAt(std::string_view host, std::string_view prefix, std::string_view method) const
+{
+    const auto found = m_routes.find(routeKey(host, prefix));
+    if (found == m_routes.end()) {
+        return {};
+    }
+    for (const RouteObject &route : found->second) {
+        const RoutedWork work{&route, service(route.parts.front().service), workClass(route.workClass)};
+        if (takesMethod(route, method) && work.service && work.workClass) {
+            return work;
         }
     }
     return {};
@@ -99,6 +126,9 @@
     case ObjectKind::Refusal:
         m_refusals[object.name] = parseRefusal(object);
         break;
+    case ObjectKind::Bundle:
+        replaceAll(parseBundle(object));
+        break;
     case ObjectKind::Director:
     case ObjectKind::Node:
     case ObjectKind::Crash:
@@ -106,6 +136,23 @@
     }
 }
 
+void ConfigBuilder::replaceAll(BundleObject bundle)
+{
+    m_workClasses.clear();
+    m_services.clear();
+    m_routes.clear();
+    for (WorkClass &workClass : bundle.workClasses) {
+        m_workClasses[workClass.name] = std::move(workClass);
+    }
+    for (ServiceObject &service : bundle.services) {
+        m_services[service.name] = std::move(service);
+    }
+    for (RouteObject &route : bundle.routes) {
+        m_routes[route.name] = std::move(route);
+    }
+    m_callerLimits = bundle.callerLimits;
+}
+
 void ConfigBuilder::remove(ObjectKind kind, const std::string &name)
 {
     switch (kind) {
@@ -121,6 +168,7 @@
     case ObjectKind::Refusal:
         m_refusals.erase(name);
         break;
+    case ObjectKind::Bundle:
     case ObjectKind::Director:
     case ObjectKind::Node:
     case ObjectKind::Crash:
@@ -134,8 +182,9 @@
     snapshot->m_services = m_services;
     snapshot->m_workClasses = m_workClasses;
     snapshot->m_versions = m_versions;
+    snapshot->m_callerLimits = m_callerLimits;
     for (const auto &[name, route] : m_routes) {
-        snapshot->m_routes[route.prefix].push_back(route);
+        snapshot->m_routes[routeKey(route.host, route.prefix)].push_back(route);
     }
     for (auto &[prefix, routes] : snapshot->m_routes) {
         std::sort(routes.begin(), routes.end(), [](const auto &a, const auto &b) { return a.name < b.name; });
--- a/packages/config/src/daemonsettings.cpp
+++ b/packages/config/src/daemonsettings.cpp
@@ -14,12 +14,37 @@
 constexpr NumberRange LIFETIME_RANGE_MS{1000, 86400000};
 constexpr NumberRange WAIT_RANGE_MS{100, 3600000};
 constexpr NumberRange COST_RANGE{0.001, 1000};
+constexpr NumberRange RETRY_SHARE_RANGE{0, 10};
+constexpr NumberRange RETRY_EXTRA_RANGE{0, 1000000};
 
 Endpoint endpoint(FieldReader &reader, const std::string &name)
 {
     return parseEndpoint(reader.text(name), name);
 }
 
+std::optional<Endpoint> optionalEndpoint(FieldReader &reader, const std::string &name)
+{
+    const std::string text = reader.text(name, "");
+    return text.empty() ? std::nullopt : std::optional<Endpoint>(parseEndpoint(text, name));
+}
+
+template <typename Enum, std::size_t Size>
+Enum optionalChoice(FieldReader &reader, const std::string &name, const EnumTable<Enum, Size> &table, Enum fallback)
+{
+    reader.text(name, "");
+    return reader.has(name) ? reader.choice(name, table) : fallback;
+}
+
+FleetRetryLimits retriesFrom(FieldReader reader)
+{
+    FleetRetryLimits limits;
+    limits.share = reader.number("share", RETRY_SHARE_RANGE, limits.share);
+    limits.extra = reader.number("extra", RETRY_EXTRA_RANGE, limits.extra);
+    limits.window = Millis(reader.number("windowMs", WAIT_RANGE_MS, limits.window.value));
+    reader.rejectOthers();
+    return limits;
+}
+
 DaemonLimits limitsFrom(FieldReader reader)
 {
     DaemonLimits limits;
@@ -84,10 +109,16 @@
         settings.seeds.push_back(parseEndpoint(seed, "seeds"));
     }
     settings.lateDetectionCost = reader.number("lateDetectionCost", COST_RANGE, settings.lateDetectionCost);
-    if (reader.has("log")) {
-        settings.logFormat = reader.choice("log", LOG_FORMAT_NAMES);
-    } else {
-        reader.text("log", "");
+    settings.dialect = optionalChoice(reader, "dialect", DIALECT_NAMES, settings.dialect);
+    settings.refusal = optionalChoice(reader, "refusal", REFUSAL_POLICY_NAMES, settings.refusal);
+    settings.detection = optionalChoice(reader, "detection", DETECTION_NAMES, settings.detection);
+    settings.logFormat = optionalChoice(reader, "log", LOG_FORMAT_NAMES, settings.logFormat);
+    settings.service = reader.text("service", "");
+    settings.upstream = optionalEndpoint(reader, "upstream");
+    settings.ready = optionalEndpoint(reader, "ready");
+    settings.metrics = optionalEndpoint(reader, "metrics");
+    if (reader.has("retries")) {
+        settings.retries = retriesFrom(reader.object("retries"));
     }
     if (reader.has("limits")) {
         settings.limits = limitsFrom(reader.object("limits"));
--- a/packages/config/src/objects.cpp
+++ b/packages/config/src/objects.cpp
@@ -13,20 +13,59 @@
 constexpr NumberRange SUCCESS_RANGE{0.5, 0.999999};
 constexpr NumberRange SHARE_RANGE{0, 1};
 constexpr NumberRange WALL_CLOCK_RANGE_MS{0, 1e15};
+constexpr NumberRange PRIORITY_RANGE{0, 100};
+constexpr NumberRange ATTEMPTS_RANGE{0, 1000};
+constexpr NumberRange WEIGHT_RANGE{0, 1e9};
+constexpr NumberRange BYTES_RANGE{1, 1e15};
+constexpr NumberRange TIME_RANGE_MS{1, 86400000};
 
 nlohmann::json documentOf(const StoredObject &object)
 {
     return parseJson(object.value, object.kind + "/" + object.name);
 }
 
+std::vector<RoutePart> partsFrom(FieldReader &reader)
+{
+    if (!reader.has("parts")) {
+        return {{reader.text("service"), 1}};
+    }
+    std::vector<RoutePart> parts;
+    double total = 0;
+    for (const auto &entry : reader.list("parts")) {
+        FieldReader part(entry, "parts");
+        parts.push_back({part.text("service"), part.number("weight", WEIGHT_RANGE)});
+        total += parts.back().weight;
+        part.rejectOthers();
+    }
+    if (total <= 0) {
+        reader.fail("parts", "give at least one part a weight above 0");
+    }
+    return parts;
+}
+
+CallerLimits callerLimitsFrom(FieldReader reader)
+{
+    CallerLimits limits;
+    limits.headBytes = static_cast<std::size_t>(reader.number("headBytes", BYTES_RANGE));
+    limits.bodyBytes = static_cast<std::uint64_t>(reader.number("bodyBytes", BYTES_RANGE));
+    limits.headTime = Millis(reader.number("headTimeMs", TIME_RANGE_MS));
+    limits.idleTime = Millis(reader.number("idleTimeMs", TIME_RANGE_MS));
+    reader.rejectOthers();
+    return limits;
+}
+
 } // namespace
 
 WorkClass parseWorkClass(const StoredObject &object)
 {
-    const nlohmann::json document = documentOf(object);
+    return parseWorkClass(object.name, documentOf(object));
+}
+
+WorkClass parseWorkClass(const std::string &name, const nlohmann::json &document)
+{
     FieldReader reader(document, "");
     WorkClass workClass;
-    workClass.name = object.name;
+    workClass.name = name;
     workClass.kind = reader.choice("kind", WORK_KIND_NAMES);
     workClass.latencyTarget = Millis(reader.number("latencyTargetMs", LATENCY_RANGE_MS));
     workClass.successTarget = reader.number("successTarget", SUCCESS_RANGE);
@@ -34,37 +73,49 @@
     if (workClass.deadline < workClass.latencyTarget) {
         reader.fail("deadlineMs", "write at least the value of latencyTargetMs");
     }
+    workClass.priority = static_cast<int>(reader.number("priority", PRIORITY_RANGE, workClass.priority));
+    workClass.maxAttempts = static_cast<int>(reader.number("maxAttempts", ATTEMPTS_RANGE, workClass.maxAttempts));
     reader.rejectOthers();
     return workClass;
 }
 
 ServiceObject parseService(const StoredObject &object)
 {
-    const nlohmann::json document = documentOf(object);
+    return parseService(object.name, documentOf(object));
+}
+
+ServiceObject parseService(const std::string &name, const nlohmann::json &document)
+{
     FieldReader reader(document, "");
     ServiceObject service;
-    service.name = object.name;
+    service.name = name;
     service.floor = reader.number("floor", SHARE_RANGE);
-    service.director = reader.text("director");
+    service.director = reader.text("director", "");
     reader.rejectOthers();
     return service;
 }
 
 RouteObject parseRoute(const StoredObject &object)
 {
-    const nlohmann::json document = documentOf(object);
+    RouteObject route = parseRoute(object.name, documentOf(object));
+    if (route.prefix.size() > 1 && route.prefix.back() == '/') {
+        route.prefix.pop_back();
+    }
+    return route;
+}
+
+RouteObject parseRoute(const std::string &name, const nlohmann::json &document)
+{
     FieldReader reader(document, "");
     RouteObject route;
-    route.name = object.name;
+    route.name = name;
+    route.host = reader.text("host", "");
     route.prefix = reader.text("prefix");
     if (route.prefix.front() != '/') {
         reader.fail("prefix", "start it with '/'");
     }
-    if (route.prefix.size() > 1 && route.prefix.back() == '/') {
-        route.prefix.pop_back();
-    }
     route.methods = reader.texts("methods");
-    route.service = reader.text("service");
+    route.parts = partsFrom(reader);
     route.workClass = reader.text("class");
     reader.rejectOthers();
     return route;
@@ -109,6 +160,27 @@
     return node;
 }
 
+BundleObject parseBundle(const StoredObject &object)
+{
+    const nlohmann::json document = documentOf(object);
+    FieldReader reader(document, "");
+    BundleObject bundle;
+    for (const auto &[name, entry] : reader.members("classes")) {
+        bundle.workClasses.push_back(parseWorkClass(name, entry));
+    }
+    for (const auto &[name, entry] : reader.members("services")) {
+        bundle.services.push_back(parseService(name, entry));
+    }
+    for (const auto &[name, entry] : reader.members("routes")) {
+        bundle.routes.push_back(parseRoute(name, entry));
+    }
+    if (reader.has("callerLimits")) {
+        bundle.callerLimits = callerLimitsFrom(reader.object("callerLimits"));
+    }
+    reader.rejectOthers();
+    return bundle;
+}
+
 CrashObject parseCrash(const StoredObject &object)
 {
     const nlohmann::json document = documentOf(object);
@@ -172,6 +244,9 @@
     case ObjectKind::Crash:
         parseCrash(object);
         break;
+    case ObjectKind::Bundle:
+        parseBundle(object);
+        break;
     }
 }
 
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/main/main.cpp
@@ -1,6 +1,9 @@
 /// The mustardpond daemon.
 
 #include "daemon.h"
+#include "net/httpstore.h"
+#include "owndialect.h"
+#include "platform/platformdialects.h"
 
 #include "foundation/errors.h"
 #include "foundation/events.h"
@@ -22,11 +25,34 @@
     return 0;
 }
 
+mustardpond::Dialects ownDialects(const mustardpond::DaemonSettings &settings)
+{
+    mustardpond::Dialects dialects;
+    dialects.caller = std::make_shared<mustardpond::OwnCallerDialect>();
+    dialects.upstream = std::make_shared<mustardpond::OwnUpstreamDialect>();
+    dialects.announcement = std::make_shared<mustardpond::OwnAnnouncementDialect>();
+    dialects.openStore = [platform = settings.platform] {
+        return std::make_unique<mustardpond::HttpStore>(platform, mustardpond::STORE_TIMEOUT);
+    };
+    return dialects;
+}
+
+mustardpond::Dialects dialectsFor(const mustardpond::DaemonSettings &settings)
+{
+    switch (settings.dialect) {
+    case mustardpond::Dialect::Platform:
+        return mustardpond::platformDialects(settings);
+    case mustardpond::Dialect::Own:
+        break;
+    }
+    return ownDialects(settings);
+}
+
 int runDaemon(const std::string &path)
 {
     const mustardpond::DaemonSettings settings = mustardpond::readDaemonSettings(path);
     mustardpond::openLog(settings.logFormat, settings.node);
-    mustardpond::Daemon daemon(settings);
+    mustardpond::Daemon daemon(settings, path, dialectsFor(settings));
     daemon.run();
     return 0;
 }
@@ -39,7 +65,7 @@
     std::string settings;
     std::string checked;
     app.set_version_flag("--version", MUSTARDPOND_VERSION);
-    app.add_option("--settings", settings, "JSON file with the daemon's settings");
+    app.add_option("--settings", settings, "JSON file with the daemon's settings")->envname("MUSTARDPOND_SETTINGS");
     app.add_option("--check-settings", checked, "check a settings file and exit");
     CLI11_PARSE(app, argc, argv);
     try {
--- a/packages/daemon/src/controlmessages.h
+++ b/packages/daemon/src/control/controlmessages.h
@@ -8,12 +8,14 @@
 
 #include <caf/all.hpp>
 
+#include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace mustardpond {
 
-/// A periodic wake-up of an actor.
+/// A wake-up of an actor.
 struct TickDue {
 };
 
@@ -33,6 +35,25 @@
     std::vector<StoredObject> objects;
 };
 
+/// Whether the platform's store answers this daemon.
+struct StoreSeen {
+    bool sees = true;
+};
+
+/// What upstreams of this host last said is to be kept in the store.
+struct RecordWanted {
+    std::vector<UpstreamInfo> upstreams;
+    std::function<void()> done; ///< called when the store has it
+    std::uint64_t number = 0; ///< grows with each record
+    int tries = 0;
+};
+
+/// The record of a daemon that is dead is to be removed from the store.
+struct RemovalWanted {
+    std::string node;
+    Incarnation incarnation;
+};
+
 struct RefusalWanted {
     RefusalObject refusal;
 };
@@ -55,5 +76,8 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::LeaveRequested)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::StoreChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::RefusalWanted)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::StoreSeen)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::RecordWanted)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::RemovalWanted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::WatchDuty)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::CrashSeen)
--- a/packages/daemon/src/controlplane.cpp
+++ b/packages/daemon/src/control/controlplane.cpp
@@ -20,10 +20,11 @@
 } // namespace
 
 struct ControlPlane::Actors {
-    Actors(asio::io_context &io, const DaemonSettings &daemonSettings, Incarnation newIncarnation)
+    Actors(asio::io_context &io, const DaemonSettings &daemonSettings, Incarnation newIncarnation, StoreOpener opener)
         : context(io)
         , settings(daemonSettings)
         , incarnation(newIncarnation)
+        , openStore(std::move(opener))
         , system(configure(config))
         , sender(std::make_shared<GossipSender>(io, daemonSettings.bindAddress))
     {
@@ -32,17 +33,22 @@
     asio::io_context &context;
     DaemonSettings settings;
     Incarnation incarnation;
+    StoreOpener openStore;
     caf::actor_system_config config;
     caf::actor_system system;
     std::shared_ptr<GossipSender> sender;
     ViewHandler onView;
     CrashHandler onCrash;
+    RecallHandler onRecall;
+    std::uint64_t nextRecord = 0;
     caf::actor members;
     caf::actor store;
+    caf::actor records;
 };
 
-ControlPlane::ControlPlane(asio::io_context &context, const DaemonSettings &settings, Incarnation incarnation)
-    : m_actors(std::make_unique<Actors>(context, settings, incarnation))
+ControlPlane::ControlPlane(asio::io_context &context, const DaemonSettings &settings, Incarnation incarnation,
+                           StoreOpener openStore)
+    : m_actors(std::make_unique<Actors>(context, settings, incarnation, std::move(openStore)))
 {
 }
 
@@ -61,6 +67,13 @@
     m_actors->onCrash = std::move(handler);
 }
 
+void ControlPlane::onRecall(UpstreamsHandler handler)
+{
+    m_actors->onRecall = [actors = m_actors.get(), handler = std::move(handler)](const auto &upstreams) {
+        asio::post(actors->context, [handler, upstreams] { handler(upstreams); });
+    };
+}
+
 void ControlPlane::start()
 {
     MemberActorOutput output;
@@ -74,8 +87,14 @@
     output.noteCrash = [actors = m_actors.get()](std::uint64_t fingerprint) {
         asio::post(actors->context, [handler = actors->onCrash, fingerprint] { handler(fingerprint); });
     };
+    output.removeRecord = [actors = m_actors.get()](const std::string &node, Incarnation incarnation) {
+        caf::anon_send(actors->records, RemovalWanted{node, incarnation});
+    };
     m_actors->members = m_actors->system.spawn(memberActor, m_actors->settings, m_actors->incarnation, output);
-    m_actors->store = m_actors->system.spawn<caf::detached>(storeActor, m_actors->settings, m_actors->members);
+    const StoreActorInput input{m_actors->settings, m_actors->incarnation, m_actors->openStore, m_actors->members,
+                                m_actors->onRecall};
+    m_actors->records = m_actors->system.spawn<caf::detached>(recordActor, input);
+    m_actors->store = m_actors->system.spawn<caf::detached>(storeActor, input);
     caf::anon_send(m_actors->members, m_actors->store);
 }
 
@@ -86,6 +105,8 @@
     }
     caf::anon_send_exit(m_actors->members, caf::exit_reason::user_shutdown);
     caf::anon_send_exit(m_actors->store, caf::exit_reason::user_shutdown);
+    caf::anon_send_exit(m_actors->records, caf::exit_reason::user_shutdown);
+    m_actors->records = nullptr;
     m_actors->members = nullptr;
     m_actors->store = nullptr;
 }
@@ -100,6 +121,15 @@
     caf::anon_send(m_actors->members, UpstreamsChanged{std::move(upstreams)});
 }
 
+void ControlPlane::recordUpstreams(std::vector<UpstreamInfo> upstreams, const std::function<void()> &done)
+{
+    RecordWanted wanted;
+    wanted.upstreams = std::move(upstreams);
+    wanted.number = ++m_actors->nextRecord;
+    wanted.done = [actors = m_actors.get(), done] { asio::post(actors->context, done); };
+    caf::anon_send(m_actors->records, wanted);
+}
+
 void ControlPlane::leave()
 {
     caf::anon_send(m_actors->members, LeaveRequested{});
--- a/packages/daemon/src/controlplane.h
+++ b/packages/daemon/src/control/controlplane.h
@@ -22,8 +22,12 @@
     using ViewHandler = std::function<void(std::shared_ptr<const FleetView>)>;
 
     using CrashHandler = std::function<void(std::uint64_t fingerprint)>;
+    using UpstreamsHandler = std::function<void(const std::vector<UpstreamInfo> &)>;
+    /// Makes a client of the platform's store; each is used by one thread.
+    using StoreOpener = std::function<std::unique_ptr<ObjectStore>()>;
 
-    ControlPlane(asio::io_context &context, const DaemonSettings &settings, Incarnation incarnation);
+    ControlPlane(asio::io_context &context, const DaemonSettings &settings, Incarnation incarnation,
+                 StoreOpener openStore);
     ~ControlPlane() override;
     ControlPlane(const ControlPlane &) = delete;
     ControlPlane &operator=(const ControlPlane &) = delete;
@@ -31,12 +35,17 @@
     void onView(ViewHandler handler);
     /// Called, on the request path's thread, for each crash that another daemon has seen.
     void onCrash(CrashHandler handler);
+    /// Called, on the request path's thread, with what an earlier start of this daemon kept in the store.
+    void onRecall(UpstreamsHandler handler);
     void start() override;
     void stop() override;
 
     /// All of these return at once.
     void receiveGossip(std::shared_ptr<const wire::GossipT> message);
     void setUpstreams(std::vector<UpstreamInfo> upstreams);
+    /// Keeps in the store what leaving upstreams last said.
+    /// @param done called on the request path's thread when the store has it; never if it stays out
+    void recordUpstreams(std::vector<UpstreamInfo> upstreams, const std::function<void()> &done);
     void leave();
     /// Tells all daemons that a request was running when an upstream crashed.
     void reportCrash(std::uint64_t fingerprint);
--- a/packages/daemon/src/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -2,6 +2,7 @@
 
 #include "config/burnjson.h"
 #include "foundation/errors.h"
+#include "foundation/events.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,6 +14,7 @@
 
 constexpr Millis IDLE_TIMEOUT{30000};
 constexpr Millis EXPIRY_PERIOD{500};
+constexpr Millis RECORD_PATIENCE{700}; ///< an upstream waits a second for its acknowledgement
 
 std::string dataCentreOf(const FleetView &view, const std::string &upstream)
 {
@@ -40,27 +42,45 @@
 } // namespace
 
 LocalEndpoint::LocalEndpoint(asio::io_context &context, const Clock &clock, const DaemonSettings &settings,
-                             Router &router, Gate &gate)
+                             Router &router, Gate &gate, std::shared_ptr<const AnnouncementDialect> dialect)
     : m_context(context)
     , m_clock(clock)
     , m_settings(settings)
     , m_router(router)
     , m_gate(gate)
-    , m_listener(std::make_shared<Listener>(
-          context, settings.local, [this](tcp::socket socket, const Yield &yield) { serve(std::move(socket), yield); }))
+    , m_dialect(std::move(dialect))
 {
+    listenAt(settings.local);
+    for (const auto &address : {settings.ready, settings.metrics}) {
+        if (address) {
+            listenAt(*address);
+        }
+    }
+}
+
+void LocalEndpoint::listenAt(const Endpoint &address)
+{
+    m_listeners.push_back(std::make_shared<Listener>(
+        m_context, address, [this](tcp::socket socket, const Yield &yield) { serve(std::move(socket), yield); }));
 }
 
 void LocalEndpoint::start()
 {
-    m_listener->start();
+    for (const auto &listener : m_listeners) {
+        listener->start();
+    }
+    if (m_settings.dialect != Dialect::Own) {
+        return; // silence of an upstream tells nothing there
+    }
     asio::spawn(m_context, [this](const Yield &yield) { expire(yield); });
 }
 
 void LocalEndpoint::stop()
 {
     m_stopped = true;
-    m_listener->stop();
+    for (const auto &listener : m_listeners) {
+        listener->stop();
+    }
 }
 
 void LocalEndpoint::expire(const Yield &yield)
@@ -83,7 +103,7 @@
         stream.expires_after(toDuration(IDLE_TIMEOUT));
         http::async_read(stream, buffer, parser, yield);
         const Request request = parser.release();
-        Response response = answer(request);
+        Response response = answer(request, yield);
         response.version(request.version());
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
@@ -94,10 +114,10 @@
     }
 }
 
-LocalEndpoint::Response LocalEndpoint::answer(const Request &request)
+LocalEndpoint::Response LocalEndpoint::answer(const Request &request, const Yield &yield)
 {
-    if (request.method() == http::verb::post && request.target() == "/announce") {
-        return announce(request);
+    if (request.method() != http::verb::get) {
+        return announce(request, yield);
     }
     Response response(http::status::ok, request.version());
     response.set(http::field::content_type, "application/json");
@@ -111,7 +131,7 @@
     } else if (request.target() == "/burn") {
         response.body() = burnText();
     } else if (request.target() == "/ready") {
-        response.result(m_router.view().configured ? http::status::ok : http::status::service_unavailable);
+        response.result(isReady() ? http::status::ok : http::status::service_unavailable);
     } else {
         response.result(http::status::not_found);
         response.body() = R"({"error":"ask for /announce, /metrics, /status, /config, /burn or /ready"})";
@@ -119,20 +139,56 @@
     return response;
 }
 
-LocalEndpoint::Response LocalEndpoint::announce(const Request &request)
+bool LocalEndpoint::isReady()
+{
+    const bool ready = m_router.view().configured && !m_router.isLeaving();
+    if (ready != m_wasReady) {
+        m_wasReady = ready;
+        logEvent(Event::ReadyChanged,
+                 {{"ready", ready}, {"configured", m_router.view().configured}, {"leaving", m_router.isLeaving()}});
+    }
+    return ready;
+}
+
+LocalEndpoint::Response LocalEndpoint::announce(const Request &request, const Yield &yield)
 {
     Response response(http::status::ok, request.version());
     response.set(http::field::content_type, "application/json");
+    response.body() = "{}";
     try {
-        m_gate.context().registry.announce(parseAnnouncement(request.body()), m_clock.now());
-        response.body() = "{}";
+        const auto announcement = m_dialect->read(
+            {std::string(request.method_string()), std::string(request.target()), request.body()});
+        if (!announcement) {
+            response.result(http::status::not_found);
+            response.body() = R"({"error":"announcements go to another path"})";
+            return response;
+        }
+        const AnnounceResult result = m_gate.context().registry.announce(*announcement, m_clock.now());
+        const bool leaves =
+            announcement->state == UpstreamState::Draining || announcement->state == UpstreamState::Gone;
+        if (leaves && result == AnnounceResult::Changed) {
+            keepRecord(yield);
+        }
     } catch (const Exception &error) {
+        logEvent(Event::AnnouncementInvalid, {{"cause", error.what()}});
         response.result(http::status::bad_request);
         response.body() = nlohmann::json({{"error", error.what()}}).dump();
     }
     return response;
 }
 
+void LocalEndpoint::keepRecord(const Yield &yield)
+{
+    if (!m_record) {
+        return;
+    }
+    // An acknowledged leaving has to outlive this process; peers have heard of it too.
+    auto timer = std::make_shared<asio::steady_timer>(m_context, toDuration(RECORD_PATIENCE));
+    m_record(m_gate.context().registry.infos(), [timer] { timer->cancel(); });
+    ErrorCode ignored;
+    timer->async_wait(yield[ignored]);
+}
+
 std::string LocalEndpoint::statusText() const
 {
     const FleetView &view = m_router.view();
--- a/packages/daemon/src/localendpoint.h
+++ b/packages/daemon/src/control/localendpoint.h
@@ -1,22 +1,31 @@
 /// The address where backend servers of this host announce themselves and operators ask.
 #pragma once
 
+#include "announcementdialect.h"
 #include "gate.h"
 #include "net/listener.h"
 #include "router.h"
 
 #include "foundation/kernel.h"
 
+#include <functional>
 #include <memory>
+#include <vector>
 
 namespace mustardpond {
 
-/// Serves POST /announce, GET /metrics, /status, /config, /burn and /ready.
+/// Serves announcements, and GET /metrics, /status, /config, /burn and /ready.
 class LocalEndpoint : public Service
 {
 public:
     LocalEndpoint(asio::io_context &context, const Clock &clock, const DaemonSettings &settings, Router &router,
-                  Gate &gate);
+                  Gate &gate, std::shared_ptr<const AnnouncementDialect> dialect);
+    /// Where what leaving upstreams said is kept; calls back when that is done.
+    using RecordHandler = std::function<void(std::vector<UpstreamInfo>, std::function<void()>)>;
+    void onRecord(RecordHandler handler)
+    {
+        m_record = std::move(handler);
+    }
     void start() override;
     void stop() override;
 
@@ -25,8 +34,11 @@
     using Response = http::response<http::string_body>;
 
     void serve(tcp::socket socket, const Yield &yield);
-    Response answer(const Request &request);
-    Response announce(const Request &request);
+    void listenAt(const Endpoint &address);
+    Response answer(const Request &request, const Yield &yield);
+    Response announce(const Request &request, const Yield &yield);
+    void keepRecord(const Yield &yield);
+    bool isReady();
     std::string statusText() const;
     std::string configText() const;
     std::string burnText() const;
@@ -37,7 +49,10 @@
     const DaemonSettings &m_settings;
     Router &m_router;
     Gate &m_gate;
-    std::shared_ptr<Listener> m_listener;
+    std::shared_ptr<const AnnouncementDialect> m_dialect;
+    RecordHandler m_record;
+    std::vector<std::shared_ptr<Listener>> m_listeners;
+    bool m_wasReady = false;
     bool m_stopped = false;
 };
 
--- a/packages/daemon/src/memberactor.cpp
+++ b/packages/daemon/src/control/memberactor.cpp
@@ -6,14 +6,19 @@
 #include <nlohmann/json.hpp>
 #include <xxhash.h>
 
+#include <algorithm>
 #include <chrono>
+#include <map>
+#include <optional>
 #include <set>
 
 namespace mustardpond {
 
 namespace {
 
-constexpr std::chrono::milliseconds TICK{50};
+constexpr Millis LEAST_SLEEP{2};
+constexpr Millis LONGEST_SLEEP{5000};
+constexpr Millis FORGET_AFTER{10000}; ///< a dead daemon's record in the store is removed then
 constexpr std::size_t WATCHERS = 2;
 
 Event eventOf(MemberState state)
@@ -62,7 +67,8 @@
 {
 public:
     MemberDriver(const DaemonSettings &settings, Incarnation incarnation, MemberActorOutput output)
-        : m_seeds(seedsFrom(settings))
+        : m_needsBundle(settings.dialect == Dialect::Platform)
+        , m_seeds(seedsFrom(settings))
         , m_membership(selfFrom(settings, incarnation), {}, m_random)
         , m_output(std::move(output))
         , m_builder([](const StoredObject &object, const std::string &cause) {
@@ -76,9 +82,34 @@
     void tick()
     {
         send(m_membership.tick(m_clock.now()));
+        removeDead();
         publishChanges();
     }
 
+    /// Time until tick() has something to do.
+    Millis untilDue() const
+    {
+        const Millis left = m_membership.nextDue() - m_clock.now();
+        return Millis(std::max(LEAST_SLEEP.value, std::min(LONGEST_SLEEP.value, left.value)));
+    }
+
+    void setSeesPlatform(bool sees)
+    {
+        m_membership.setSeesPlatform(sees);
+        publishChanges();
+    }
+
+    /// The change of the duty to watch since the last call, if any.
+    std::optional<bool> takeDutyChange()
+    {
+        const bool now = watches();
+        if (m_lastDuty == now) {
+            return std::nullopt;
+        }
+        m_lastDuty = now;
+        return now;
+    }
+
     void receive(const wire::GossipT &message)
     {
         send(m_membership.receive(message, m_clock.now()));
@@ -112,7 +143,7 @@
             if (object.kind == nameOf(OBJECT_KIND_NAMES, ObjectKind::Node)) {
                 addSeed(object);
             } else {
-                m_membership.applyObject(object);
+                m_membership.takeObject(object);
             }
         }
         m_membership.setSeeds(m_seeds);
@@ -127,6 +158,21 @@
     }
 
 private:
+    /// One of the living removes the records of the dead: the first by rank in the data centre.
+    void removeDead()
+    {
+        const Millis now = m_clock.now();
+        for (const Member &member : m_membership.members()) {
+            if (member.state != MemberState::Dead && member.state != MemberState::Left) {
+                continue;
+            }
+            const auto since = m_deadSince.emplace(member.incarnation.low, now).first->second;
+            if (now - since > FORGET_AFTER && m_removed.insert(member.incarnation.low).second && watches()) {
+                m_output.removeRecord(member.node, member.incarnation);
+            }
+        }
+    }
+
     void addSeed(const StoredObject &object)
     {
         try {
@@ -184,12 +230,16 @@
         view->self = m_membership.self();
         view->members = m_membership.members();
         view->upstreams = listUpstreams(view->members, m_membership.self());
-        view->configured = m_configured;
+        view->configured = m_configured && (!m_needsBundle || m_config->routeCount() > 0);
         m_output.publish(view);
     }
 
+    bool m_needsBundle;
     SteadyClock m_clock;
     SystemRandom m_random;
+    std::map<std::uint64_t, Millis> m_deadSince; ///< by the low half of the incarnation
+    std::set<std::uint64_t> m_removed;
+    std::optional<bool> m_lastDuty;
     std::vector<std::string> m_seeds;
     Membership m_membership;
     MemberActorOutput m_output;
@@ -206,7 +256,7 @@
 {
     std::size_t higher = 0;
     for (const Member &member : members) {
-        const bool rival = member.dataCentre == self.dataCentre && takesRequests(member);
+        const bool rival = member.dataCentre == self.dataCentre && takesRequests(member) && member.seesPlatform;
         higher += rival && rank(member) > rank(self) ? 1 : 0;
     }
     return higher < WATCHERS;
@@ -217,21 +267,56 @@
 {
     auto driver = std::make_shared<MemberDriver>(settings, incarnation, output);
     auto store = std::make_shared<caf::actor>();
+    auto wakeAt = std::make_shared<Millis>(-1);
+    // After each step, the actor sleeps until its next due time; an earlier wake-up that is left over does no harm.
+    const auto settle = [driver, store, wakeAt, self] {
+        const Millis now = SteadyClock().now();
+        const Millis due = now + driver->untilDue();
+        if (*wakeAt <= now || due + LEAST_SLEEP < *wakeAt) {
+            *wakeAt = due;
+            self->delayed_send(self, std::chrono::microseconds(static_cast<std::int64_t>((due - now).value * 1000)),
+                               TickDue{});
+        }
+        if (*store) {
+            if (const auto duty = driver->takeDutyChange()) {
+                self->send(*store, WatchDuty{*duty});
+            }
+        }
+    };
     self->send(self, TickDue{});
     return {
-        [driver, store, self](TickDue) {
+        [driver, settle](TickDue) {
             driver->tick();
-            if (*store) {
-                self->send(*store, WatchDuty{driver->watches()});
-            }
-            self->delayed_send(self, TICK, TickDue{});
+            settle();
+        },
+        [store, settle](const caf::actor &handle) {
+            *store = handle;
+            settle();
+        },
+        [driver, settle](const GossipReceived &received) {
+            driver->receive(*received.message);
+            settle();
+        },
+        [driver, settle](const UpstreamsChanged &change) {
+            driver->setUpstreams(change.upstreams);
+            settle();
+        },
+        [driver, settle](const CrashSeen &crash) {
+            driver->reportCrash(crash.fingerprint);
+            settle();
+        },
+        [driver, settle](LeaveRequested) {
+            driver->leave();
+            settle();
+        },
+        [driver, settle](const StoreSeen &seen) {
+            driver->setSeesPlatform(seen.sees);
+            settle();
+        },
+        [driver, settle](const StoreChanged &change) {
+            driver->takeObjects(change.objects);
+            settle();
         },
-        [store](const caf::actor &handle) { *store = handle; },
-        [driver](const GossipReceived &received) { driver->receive(*received.message); },
-        [driver](const UpstreamsChanged &change) { driver->setUpstreams(change.upstreams); },
-        [driver](const CrashSeen &crash) { driver->reportCrash(crash.fingerprint); },
-        [driver](LeaveRequested) { driver->leave(); },
-        [driver](const StoreChanged &change) { driver->takeObjects(change.objects); },
     };
 }
 
--- a/packages/daemon/src/memberactor.h
+++ b/packages/daemon/src/control/memberactor.h
@@ -14,9 +14,11 @@
     std::function<void(std::vector<OutgoingGossip>)> sendGossip;
     std::function<void(std::shared_ptr<const FleetView>)> publish;
     std::function<void(std::uint64_t)> noteCrash;
+    std::function<void(const std::string &node, Incarnation incarnation)> removeRecord;
 };
 
-/// Behaviour of the actor. Takes GossipReceived, UpstreamsChanged, LeaveRequested, StoreChanged, CrashSeen and TickDue,
+/// Behaviour of the actor. Takes GossipReceived, UpstreamsChanged, LeaveRequested, StoreChanged, StoreSeen, CrashSeen and
+/// TickDue,
 /// and the handle of the store actor, which it tells its duty to watch.
 caf::behavior memberActor(caf::event_based_actor *self, const DaemonSettings &settings, Incarnation incarnation,
                           const MemberActorOutput &output);
--- a/packages/daemon/src/storeactor.cpp
+++ b/packages/daemon/src/control/storeactor.cpp
@@ -1,6 +1,6 @@
 #include "storeactor.h"
 
-#include "net/httpstore.h"
+#include "noderecord.h"
 
 #include "foundation/errors.h"
 #include "foundation/events.h"
@@ -8,40 +8,45 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <optional>
 
 namespace mustardpond {
 
 namespace {
 
-constexpr Millis CALL_TIMEOUT{2000};
-constexpr Millis WATCH_TIMEOUT{2000};
+constexpr Millis WATCH_TIMEOUT{2500}; ///< short, since a watch on a connection gone silent never answers
 constexpr std::chrono::milliseconds SOON{1};
-constexpr std::chrono::milliseconds IDLE_PERIOD{500};
 constexpr std::chrono::milliseconds OUTAGE_PAUSE{500};
 
 class StoreDriver
 {
 public:
-    StoreDriver(const DaemonSettings &settings, caf::actor members)
+    StoreDriver(const DaemonSettings &settings, Incarnation incarnation, std::unique_ptr<ObjectStore> store,
+                caf::actor members, RecallHandler recall)
         : m_settings(settings)
-        , m_store(settings.platform, CALL_TIMEOUT)
+        , m_incarnation(incarnation)
+        , m_store(std::move(store))
         , m_members(std::move(members))
+        , m_recall(std::move(recall))
     {
     }
 
-    /// Does one blocking step. Returns the time until the next.
-    std::chrono::milliseconds step()
+    /// Does one blocking step. Returns the time until the next, or nothing when there is nothing to do.
+    std::optional<std::chrono::milliseconds> step()
     {
         try {
             registerNode();
             if (!m_listed) {
-                takeOver(m_store.list());
+                takeOver(m_store->list());
                 m_listed = true;
             } else if (m_watches) {
-                takeOver(m_store.watch(m_revision, WATCH_TIMEOUT));
+                takeOver(m_store->watch(m_revision, WATCH_TIMEOUT));
             }
             note(true, "");
-            return m_watches ? SOON : IDLE_PERIOD;
+            if (m_listed && !m_watches) {
+                return std::nullopt;
+            }
+            return SOON;
         } catch (const StoreOutage &error) {
             note(false, error.what());
             return OUTAGE_PAUSE;
@@ -62,7 +67,7 @@
         object.name = refusal.terms.id;
         object.value = toJsonText(refusal);
         try {
-            m_store.write(object, 0);
+            m_store->write(object, 0);
             logEvent(Event::RefusalRequested, {{"refusal", object.name}, {"director", refusal.terms.director}});
         } catch (const Conflict &) {
             // Somebody asked already.
@@ -80,27 +85,35 @@
         StoredObject object;
         object.kind = nameOf(OBJECT_KIND_NAMES, ObjectKind::Node);
         object.name = m_settings.node;
-        object.value = nlohmann::json({{"inner", toString(m_settings.advertisedInner)},
-                                       {"local", toString(m_settings.local)},
-                                       {"dataCentre", m_settings.dataCentre},
-                                       {"region", m_settings.region}})
-                           .dump();
         std::uint64_t version = 0;
+        std::vector<UpstreamInfo> kept;
         try {
-            version = m_store.read(object.kind, object.name).version;
+            const StoredObject known = m_store->read(object.kind, object.name);
+            version = known.version;
+            kept = upstreamsOf(known);
+            recall(kept);
         } catch (const StoreOutage &) {
             throw;
         } catch (const Exception &) {
             version = 0;
         }
         try {
-            m_store.write(object, version);
+            object.value = nodeRecord(m_settings, m_incarnation, kept);
+            m_store->write(object, version);
             m_registered = true;
         } catch (const Conflict &) {
             // A write whose answer was lost, or a twin; the next step reads again.
         }
     }
 
+    /// An earlier start of this daemon may have kept what upstreams said.
+    void recall(const std::vector<UpstreamInfo> &upstreams) const
+    {
+        if (!upstreams.empty() && m_recall) {
+            m_recall(upstreams);
+        }
+    }
+
     void takeOver(const Listing &listing)
     {
         m_revision = listing.revision;
@@ -115,6 +128,7 @@
             return;
         }
         m_reachable = reachable;
+        caf::anon_send(m_members, StoreSeen{reachable});
         if (reachable) {
             logEvent(Event::StoreReachable, {{"platform", toString(m_settings.platform)}});
         } else {
@@ -123,8 +137,10 @@
     }
 
     DaemonSettings m_settings;
-    HttpStore m_store;
+    Incarnation m_incarnation;
+    std::unique_ptr<ObjectStore> m_store;
     caf::actor m_members;
+    RecallHandler m_recall;
     std::uint64_t m_revision = 0;
     bool m_listed = false;
     bool m_watches = true;
@@ -134,13 +150,27 @@
 
 } // namespace
 
-caf::behavior storeActor(caf::event_based_actor *self, const DaemonSettings &settings, const caf::actor &members)
+caf::behavior storeActor(caf::event_based_actor *self, const StoreActorInput &input)
 {
-    auto driver = std::make_shared<StoreDriver>(settings, members);
+    auto driver =
+        std::make_shared<StoreDriver>(input.settings, input.incarnation, input.openStore(), input.members, input.recall);
+    auto sleeps = std::make_shared<bool>(false);
     self->send(self, TickDue{});
     return {
-        [driver, self](TickDue) { self->delayed_send(self, driver->step(), TickDue{}); },
-        [driver](const WatchDuty &duty) { driver->setWatches(duty.watches); },
+        [driver, sleeps, self](TickDue) {
+            const auto wait = driver->step();
+            *sleeps = !wait;
+            if (wait) {
+                self->delayed_send(self, *wait, TickDue{});
+            }
+        },
+        [driver, sleeps, self](const WatchDuty &duty) {
+            driver->setWatches(duty.watches);
+            if (*sleeps && duty.watches) {
+                *sleeps = false;
+                self->send(self, TickDue{});
+            }
+        },
         [driver](const RefusalWanted &wanted) { driver->requestRefusal(wanted.refusal); },
     };
 }
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -1,6 +1,8 @@
 #include "daemon.h"
 
+#include "foundation/errors.h"
 #include "foundation/events.h"
+#include "foundation/fieldreader.h"
 
 #include <nlohmann/json.hpp>
 
@@ -17,6 +19,7 @@
 constexpr const char LOCAL[] = "local";
 constexpr Millis LEAVE_SPREAD{2500}; ///< for the leave to reach every router
 constexpr Millis STOP_CHECK{20};
+constexpr Millis SETTINGS_CHECK{1000};
 constexpr Millis REFUSAL_LIFETIME{600000};
 constexpr Millis HELD_PERIOD{10000};
 constexpr double REFUSED_SHARE = 0.1;
@@ -38,19 +41,45 @@
     return refusal;
 }
 
+/// What an earlier start of this daemon knew of its upstreams, as other members remember it.
+void recallFrom(const FleetView &view, UpstreamRegistry &registry)
+{
+    for (const Member &member : view.members) {
+        if (member.node != view.self.node || member.incarnation == view.self.incarnation) {
+            continue;
+        }
+        for (const UpstreamInfo &info : member.upstreams) {
+            registry.recall(info);
+        }
+    }
+}
+
 } // namespace
 
-Daemon::Daemon(DaemonSettings settings)
+Daemon::Daemon(DaemonSettings settings, std::string path, const Dialects &dialects)
     : m_settings(std::move(settings))
+    , m_path(std::move(path))
+    , m_settingsText(readTextFile(m_path))
     , m_incarnation(newIncarnation(m_random))
     , m_signals(m_context, SIGTERM, SIGINT)
+    , m_hangup(m_context, SIGHUP)
 {
-    auto gate = std::make_shared<Gate>(m_context, m_clock, m_incarnation, m_settings);
-    auto router = std::make_shared<Router>(m_context, m_clock, m_random, m_settings);
-    auto control = std::make_shared<ControlPlane>(m_context, m_settings, m_incarnation);
-    auto local = std::make_shared<LocalEndpoint>(m_context, m_clock, m_settings, *router, *gate);
-    control->onView(
-        [router = router.get()](std::shared_ptr<const FleetView> view) { router->update(std::move(view)); });
+    auto gate = std::make_shared<Gate>(m_context, m_clock, m_incarnation, m_settings, dialects.upstream);
+    auto router = std::make_shared<Router>(m_context, m_clock, m_random, m_settings, dialects.caller);
+    auto control = std::make_shared<ControlPlane>(m_context, m_settings, m_incarnation, dialects.openStore);
+    auto local = std::make_shared<LocalEndpoint>(m_context, m_clock, m_settings, *router, *gate, dialects.announcement);
+    control->onView([router = router.get(), gate = gate.get()](std::shared_ptr<const FleetView> view) {
+        recallFrom(*view, gate->context().registry);
+        router->update(std::move(view));
+    });
+    control->onRecall([gate = gate.get()](const std::vector<UpstreamInfo> &upstreams) {
+        for (const UpstreamInfo &info : upstreams) {
+            gate->context().registry.recall(info);
+        }
+    });
+    local->onRecord([control = control.get()](std::vector<UpstreamInfo> upstreams, const std::function<void()> &done) {
+        control->recordUpstreams(std::move(upstreams), done);
+    });
     gate->onGossip([control = control.get()](std::shared_ptr<const wire::GossipT> message) {
         control->receiveGossip(std::move(message));
     });
@@ -94,9 +123,49 @@
             asio::spawn(m_context, [this](const Yield &yield) { stopGracefully(yield); });
         }
     });
+    awaitReload();
+    asio::spawn(m_context, [this](const Yield &yield) { watchSettings(yield); });
     m_context.run();
 }
 
+void Daemon::awaitReload()
+{
+    m_hangup.async_wait([this](ErrorCode error, int) {
+        if (!error) {
+            reload();
+            awaitReload();
+        }
+    });
+}
+
+void Daemon::watchSettings(const Yield &yield)
+{
+    // The file may change without a signal.
+    asio::steady_timer timer(m_context);
+    ErrorCode error;
+    while (!error) {
+        timer.expires_after(toDuration(SETTINGS_CHECK));
+        timer.async_wait(yield[error]);
+        reload();
+    }
+}
+
+void Daemon::reload()
+{
+    try {
+        const std::string text = readTextFile(m_path);
+        if (text == m_settingsText) {
+            return;
+        }
+        m_settingsText = text;
+        const DaemonSettings settings = parseDaemonSettings(text, m_path);
+        m_kernel.find<Router>(ROUTER)->reload(settings);
+        logEvent(Event::SettingsReloaded, {{"path", m_path}});
+    } catch (const Exception &error) {
+        logEvent(Event::SettingsInvalid, {{"cause", error.what()}});
+    }
+}
+
 void Daemon::stopGracefully(const Yield &yield)
 {
     const auto router = m_kernel.find<Router>(ROUTER);
--- a/packages/daemon/src/daemon.h
+++ b/packages/daemon/src/daemon.h
@@ -3,6 +3,7 @@
 
 #include "config/daemonsettings.h"
 #include "controlplane.h"
+#include "dialects.h"
 #include "gate.h"
 #include "localendpoint.h"
 #include "router.h"
@@ -16,20 +17,27 @@
 class Daemon
 {
 public:
-    explicit Daemon(DaemonSettings settings);
+    /// @param path the settings file, which is read again when it changes
+    Daemon(DaemonSettings settings, std::string path, const Dialects &dialects);
     /// Runs until a planned stop has ended. Throws boost::system::system_error if an address cannot be used.
     void run();
 
 private:
     void stopGracefully(const Yield &yield);
+    void awaitReload();
+    void watchSettings(const Yield &yield);
+    void reload();
 
     DaemonSettings m_settings;
+    std::string m_path;
+    std::string m_settingsText; ///< as last read
     asio::io_context m_context{1};
     SteadyClock m_clock;
     SystemRandom m_random;
     Incarnation m_incarnation;
     Kernel m_kernel;
     asio::signal_set m_signals;
+    asio::signal_set m_hangup;
 };
 
 } // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/dialect/upstreamdialect.h
@@ -0,0 +1,42 @@
+/// How requests and answers are spelled at the upstream.
+#pragma once
+
+#include "decision/outcome.h"
+#include "net/net.h"
+
+#include "foundation/clock.h"
+
+#include <cstdint>
+#include <string>
+
+namespace mustardpond {
+
+/// What the gate adds to a request.
+struct UpstreamTerms {
+    std::string upstream; ///< id of the upstream that is to run it
+    Millis timeLeft;
+};
+
+enum class AnswerStanding : std::uint8_t {
+    Own, ///< the upstream's answer to this request
+    NotRun, ///< the upstream says that it did not run the request
+    Foreign, ///< the answer to another request; the own one may follow
+    Broken, ///< no answer of this upstream that could be passed on
+};
+
+/// A verdict on the head of an answer.
+struct AnswerVerdict {
+    AnswerStanding standing = AnswerStanding::Own;
+    NotRunReason reason = NotRunReason::None; ///< why it did not run
+};
+
+class UpstreamDialect
+{
+public:
+    virtual ~UpstreamDialect() = default;
+    virtual void spell(const UpstreamTerms &terms, http::fields &head) const = 0;
+    /// @param request the head that was sent
+    virtual AnswerVerdict judge(const http::fields &request, unsigned status, const http::fields &answer) const = 0;
+};
+
+} // namespace mustardpond
--- a/packages/daemon/src/gate.cpp
+++ b/packages/daemon/src/gate/gate.cpp
@@ -2,6 +2,7 @@
 
 #include "bodydigest.h"
 #include "scopedcount.h"
+#include "turnrequest.h"
 
 namespace mustardpond {
 
@@ -10,11 +11,13 @@
 constexpr Millis IDLE_TIMEOUT{120000};
 constexpr Millis SEND_TIMEOUT{5000};
 constexpr Millis TICK{20};
+constexpr Millis TURN_LIFETIME{1000}; ///< a router that has been granted a turn sends the request at once
 
 } // namespace
 
-Gate::Gate(asio::io_context &context, const Clock &clock, Incarnation incarnation, const DaemonSettings &settings)
-    : m_gate(context, clock, incarnation, settings)
+Gate::Gate(asio::io_context &context, const Clock &clock, Incarnation incarnation, const DaemonSettings &settings,
+           std::shared_ptr<const UpstreamDialect> dialect)
+    : m_gate(context, clock, incarnation, settings, std::move(dialect))
     , m_listener(std::make_shared<Listener>(
           context, settings.inner, [this](tcp::socket socket, const Yield &yield) { serve(std::move(socket), yield); }))
 {
@@ -23,7 +26,9 @@
 void Gate::start()
 {
     m_listener->start();
-    asio::spawn(m_gate.context, [this](const Yield &yield) { tick(yield); });
+    if (m_gate.statistical) {
+        asio::spawn(m_gate.context, [this](const Yield &yield) { tick(yield); });
+    }
 }
 
 void Gate::tick(const Yield &yield)
@@ -59,6 +64,8 @@
     switch (frame.body.type) {
     case wire::Body::ProxyRequest:
         return runRequest(channel, std::move(*frame.body.AsProxyRequest()), yield);
+    case wire::Body::Reserve:
+        return reserveTurn(channel, *frame.body.AsReserve(), yield);
     case wire::Body::OpenOperation:
         return openOperation(channel, *frame.body.AsOpenOperation(), yield);
     case wire::Body::CloseOperation:
@@ -80,6 +87,23 @@
     run.run(yield);
 }
 
+void Gate::reserveTurn(FrameChannel &channel, const wire::ReserveT &reserve, const Yield &yield)
+{
+    const ScopedCount count(m_gate.running);
+    TurnRequest turn(m_gate, reserve, channel);
+    const auto hold = turn.obtain(yield);
+    if (!hold) {
+        return;
+    }
+    wire::FrameT frame = channel.receive(TURN_LIFETIME, yield);
+    auto *request = frame.body.AsProxyRequest();
+    if (!request || request->request != reserve.request) {
+        rejectFrame(frame);
+    }
+    GateRun run(m_gate, std::move(*request), channel);
+    run.runReserved(turn.grantedAt(), yield);
+}
+
 void Gate::openOperation(FrameChannel &channel, const wire::OpenOperationT &request, const Yield &yield)
 {
     wire::OperationOpenedT reply;
--- a/packages/daemon/src/gate.h
+++ b/packages/daemon/src/gate/gate.h
@@ -19,7 +19,8 @@
     /// Receives gossip from other daemons.
     using GossipHandler = std::function<void(std::shared_ptr<const wire::GossipT>)>;
 
-    Gate(asio::io_context &context, const Clock &clock, Incarnation incarnation, const DaemonSettings &settings);
+    Gate(asio::io_context &context, const Clock &clock, Incarnation incarnation, const DaemonSettings &settings,
+         std::shared_ptr<const UpstreamDialect> dialect);
 
     void onGossip(GossipHandler handler)
     {
@@ -50,6 +51,7 @@
     void openOperation(FrameChannel &channel, const wire::OpenOperationT &request, const Yield &yield);
     void closeOperation(FrameChannel &channel, const wire::CloseOperationT &request, const Yield &yield);
     void runRequest(FrameChannel &channel, wire::ProxyRequestT request, const Yield &yield);
+    void reserveTurn(FrameChannel &channel, const wire::ReserveT &reserve, const Yield &yield);
 
     GateContext m_gate;
     std::shared_ptr<Listener> m_listener;
--- a/packages/daemon/src/gatecontext.h
+++ b/packages/daemon/src/gate/gatecontext.h
@@ -5,6 +5,8 @@
 #include "decision/quarantine.h"
 #include "decision/retrybudget.h"
 #include "decision/upstreamjudge.h"
+#include "decision/upstreamtrust.h"
+#include "dialects.h"
 #include "operationwaits.h"
 #include "slotturns.h"
 #include "upstreamclient.h"
@@ -17,16 +19,19 @@
 namespace mustardpond {
 
 struct GateContext {
-    GateContext(asio::io_context &io, const Clock &time, Incarnation incarnation, const DaemonSettings &settings)
+    GateContext(asio::io_context &io, const Clock &time, Incarnation incarnation, const DaemonSettings &settings,
+                std::shared_ptr<const UpstreamDialect> upstreamDialect)
         : context(io)
         , clock(time)
         , limits(settings.limits)
-        , registry(settings.limits.waitingPerSlot)
+        , dialect(std::move(upstreamDialect))
+        , registry(settings.limits.waitingPerSlot, settings.dialect == Dialect::Own)
         , client(io)
         , ledger(incarnation, {settings.limits.operations, settings.limits.operationLifetime})
         , turns(io)
         , waits(io)
         , profile(profileForCost(settings.lateDetectionCost))
+        , statistical(settings.detection == Detection::Statistical)
     {
     }
 
@@ -35,9 +40,15 @@
         return judges.try_emplace(upstream, profile).first->second;
     }
 
+    UpstreamTrust &trustOf(const std::string &upstream)
+    {
+        return trusts[upstream];
+    }
+
     asio::io_context &context;
     const Clock &clock;
     DaemonLimits limits;
+    std::shared_ptr<const UpstreamDialect> dialect;
     UpstreamRegistry registry;
     UpstreamClient client;
     Ledger ledger;
@@ -45,7 +56,9 @@
     OperationWaits waits;
     Quarantine quarantine;
     DetectionProfile profile;
+    bool statistical; ///< whether the judges decide, rather than the trust
     std::map<std::string, UpstreamJudge> judges; ///< by upstream
+    std::map<std::string, UpstreamTrust> trusts; ///< by upstream
     RetryBudget resends; ///< of requests whose connection to an upstream went silent
     std::uint64_t nextRun = 0;
     std::function<void(std::uint64_t)> reportCrash; ///< tells the other daemons
--- a/packages/daemon/src/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -19,6 +19,8 @@
 constexpr Millis CONNECT_TIMEOUT{1000};
 constexpr Millis ANSWER_GRACE{60000}; ///< for the answer of an irreversible run after its deadline
 constexpr double SILENCE_SHARE = 0.9; ///< of the service time that counts as bad; then a reused connection is doubted
+constexpr double SILENCE_FACTOR = 6; ///< usual service times without an answer; then a reused connection is doubted
+constexpr Millis LEAST_SILENCE{600};
 constexpr std::size_t CHUNK_BYTES = 64 * KIB;
 constexpr std::size_t SMALL_ANSWER_BYTES = 256 * KIB;
 constexpr std::size_t RECORDED_BODY_BYTES = 64 * KIB;
@@ -75,35 +77,55 @@
 
 void GateRun::run(const Yield &yield)
 {
-    if (!m_request.streamed && bodyDigest(m_request.body) != m_request.digest) {
-        throw BadFrame("a request's body does not match its digest: check the link between the daemons");
-    }
+    checkDigest();
     if (!m_request.operation.empty() && !isOperation()) {
         return answerUnknown(DETAIL_FOREIGN, yield);
     }
     if (isOperation() && resolveFromLedger(yield)) {
         return;
     }
-    if (m_gate.leaving) {
-        return answerNotRun(NotRunReason::Leaving, "the gate takes no new work", yield);
+    const AdmissionQuery asked = query();
+    if (const auto denial = denialOf(m_gate, asked, m_arrivedAt)) {
+        return answerNotRun(denial->reason, denial->detail, yield);
     }
-    LocalUpstream *upstream =
-        isOperation() ? m_gate.registry.leastLoaded(m_request.service) : m_gate.registry.find(m_request.upstream);
-    if (!upstream || upstream->announced.state == UpstreamState::Gone) {
-        return answerNotRun(NotRunReason::NoUpstream, "the gate does not serve the upstream", yield);
-    }
-    if (upstream->announced.state != UpstreamState::Ready) {
+    runOnUpstream(*findUpstream(m_gate, asked), yield);
+}
+
+void GateRun::runReserved(Millis grantedAt, const Yield &yield)
+{
+    checkDigest();
+    // The router sent the request after the grant; what the way took since then is no time of the caller's any more.
+    m_deadline = grantedAt + Millis(m_request.deadlineMs);
+    LocalUpstream *upstream = m_gate.registry.find(m_request.upstream);
+    if (!upstream || upstream->announced.state != UpstreamState::Ready) {
         return answerNotRun(NotRunReason::Leaving, "the upstream takes no new work", yield);
     }
-    if (m_gate.quarantine.standing(m_fingerprint, m_arrivedAt) == RequestStanding::Quarantined) {
-        return answerNotRun(NotRunReason::Quarantined, "this request crashed upstreams before", yield);
+    if (m_deadline <= m_gate.clock.now()) {
+        return answerNotRun(NotRunReason::Deadline, "the deadline passed on the way to the gate", yield);
     }
-    UpstreamJudge &judge = m_gate.judgeOf(upstream->announced.id);
-    judge.onArrival(m_request.workClass, {Millis(m_request.badAboveMs), m_request.peerBadShare}, m_arrivedAt);
-    if (judge.isSuspect(m_request.workClass, m_arrivedAt) && !m_request.mustServe) {
-        return answerNotRun(NotRunReason::Suspect, "the upstream fails this class of work", yield);
+    m_servedBy = m_request.upstream;
+    execute(*upstream, yield);
+}
+
+AdmissionQuery GateRun::query() const
+{
+    AdmissionQuery query;
+    query.service = m_request.service;
+    query.upstream = isOperation() ? std::string() : m_request.upstream;
+    query.workClass = m_request.workClass;
+    // An operation is bound to its gate, and opening it has steered clear of doubtful upstreams.
+    query.mayTry = !isIrreversible() || isOperation();
+    query.mustServe = m_request.mustServe;
+    query.fingerprint = m_fingerprint;
+    query.normality = {Millis(m_request.badAboveMs), m_request.peerBadShare};
+    return query;
+}
+
+void GateRun::checkDigest() const
+{
+    if (!m_request.streamed && bodyDigest(m_request.body) != m_request.digest) {
+        throw BadFrame("a request's body does not match its digest: check the link between the daemons");
     }
-    runOnUpstream(*upstream, yield);
 }
 
 bool GateRun::resolveFromLedger(const Yield &yield)
@@ -147,7 +169,7 @@
 {
     const std::string id = upstream.announced.id;
     const auto queue = upstream.queue;
-    switch (m_gate.turns.take(queue, m_deadline, remaining(), yield)) {
+    switch (m_gate.turns.take(queue, {m_request.reserved ? 0 : 1, m_deadline}, remaining(), yield)) {
     case Turn::Full:
         return answerNotRun(NotRunReason::Busy, "the upstream's queue is full", yield);
     case Turn::Expired:
@@ -188,10 +210,12 @@
     UpstreamJudge &judge = m_gate.judgeOf(m_servedBy);
     const std::uint64_t number = ++m_gate.nextRun;
     judge.onStart(number, m_request.workClass, m_startedAt);
+    m_gate.trustOf(m_servedBy).onStart(number, m_request.workClass, m_startedAt);
     m_gate.resends.onFirstTry();
     try {
         exchange(upstream, number, yield);
         judge.onFinish(number, m_result, m_gate.clock.now() - m_startedAt, m_gate.clock.now());
+        noteTrust(number, m_result, m_broken);
         m_gate.quarantine.onSurvived(m_fingerprint, m_gate.clock.now());
         m_gate.client.giveBack(address, *m_exchange);
         return;
@@ -200,14 +224,36 @@
         m_connectionLost = error.code() != beast::error::timeout;
     } catch (const Exception &) {
         judge.onFinish(number, AttemptResult::Unjudged, Millis(), m_gate.clock.now());
+        noteTrust(number, AttemptResult::Unjudged, false);
         loseOperation();
         throw;
     }
     const bool withdrawn = m_exchange->isCancelled() || m_request.streamed;
-    judge.onFinish(number, withdrawn ? AttemptResult::Unjudged : AttemptResult::Failed, Millis(), m_gate.clock.now());
+    const AttemptResult result = withdrawn ? AttemptResult::Unjudged : AttemptResult::Failed;
+    judge.onFinish(number, result, Millis(), m_gate.clock.now());
+    noteTrust(number, result, true);
     recordFailure(address, failure, yield);
 }
 
+void GateRun::noteTrust(std::uint64_t number, AttemptResult result, bool broken)
+{
+    UpstreamTrust &trust = m_gate.trustOf(m_servedBy);
+    const Millis now = m_gate.clock.now();
+    const Trust before = trust.trust(now);
+    trust.onFinish(number, result, broken, now);
+    const Trust after = trust.trust(now);
+    if (after != before) {
+        logEvent(Event::UpstreamTrustChanged,
+                 {{"upstream", m_servedBy},
+                  {"from", nameOf(TRUST_NAMES, before)},
+                  {"to", nameOf(TRUST_NAMES, after)},
+                  {"class", m_request.workClass},
+                  {"result", nameOf(ATTEMPT_RESULT_NAMES, result)},
+                  {"broken", broken},
+                  {"ranMs", (now - m_startedAt).value}});
+    }
+}
+
 void GateRun::loseOperation()
 {
     if (isOperation()) {
@@ -247,7 +293,7 @@
 
 bool GateRun::exchangeUnlessSilent(const Yield &yield)
 {
-    const Millis limit = m_gate.judgeOf(m_servedBy).badAbove(m_request.workClass) * SILENCE_SHARE;
+    const Millis limit = silenceLimit();
     bool silent = false;
     const SilenceWatch watch(m_gate.context, limit, [this, &silent] { silent = giveUpIfSilent(); });
     try {
@@ -261,6 +307,15 @@
     }
 }
 
+Millis GateRun::silenceLimit() const
+{
+    if (m_gate.statistical) {
+        return m_gate.judgeOf(m_servedBy).badAbove(m_request.workClass) * SILENCE_SHARE;
+    }
+    const Millis typical = m_gate.trustOf(m_servedBy).typical(m_request.workClass);
+    return Millis(std::max(LEAST_SILENCE.value, typical.value * SILENCE_FACTOR));
+}
+
 bool GateRun::giveUpIfSilent()
 {
     if (m_headReceived || m_exchange->isCancelled() || !m_gate.resends.takeRetry()) {
@@ -294,7 +349,7 @@
     for (const auto &header : m_request.headers) {
         request.insert(header->name, header->value);
     }
-    request.set("Deadline-Ms", std::to_string(static_cast<std::int64_t>(remaining().value)));
+    m_gate.dialect->spell({m_servedBy, remaining()}, request);
     const bool lengthKnown = !m_request.streamed || m_request.bodyBytes > 0;
     if (lengthKnown) {
         const auto length = m_request.streamed ? m_request.bodyBytes : m_request.body.size();
@@ -328,8 +383,11 @@
 
 void GateRun::receiveAnswer(UpstreamExchange &exchange, const Yield &yield)
 {
-    exchange.receiveHead(patience(), yield);
+    const AnswerVerdict verdict = receiveOwnHead(exchange, yield);
     m_headReceived = true;
+    if (verdict.standing != AnswerStanding::Own) {
+        return answerDisowned(exchange, verdict, yield);
+    }
     m_result = resultOfStatus(exchange.head().result_int());
     std::string body;
     bool more = true;
@@ -359,6 +417,42 @@
     finish(std::move(answer), yield);
 }
 
+AnswerVerdict GateRun::receiveOwnHead(UpstreamExchange &exchange, const Yield &yield)
+{
+    while (true) {
+        exchange.receiveHead(patience(), yield);
+        const AnswerVerdict verdict =
+            m_gate.dialect->judge(m_upstreamRequest, exchange.head().result_int(), exchange.head());
+        if (verdict.standing != AnswerStanding::Foreign) {
+            return verdict;
+        }
+        logEvent(Event::AnswerForeign, {{"upstream", m_servedBy}, {"request", m_request.request}});
+        std::string skipped;
+        while (exchange.receiveBody(skipped, CHUNK_BYTES, patience(), yield)) {
+            skipped.clear();
+        }
+        exchange.doubt();
+    }
+}
+
+void GateRun::answerDisowned(UpstreamExchange &exchange, const AnswerVerdict &verdict, const Yield &yield)
+{
+    const bool notRun = verdict.standing == AnswerStanding::NotRun;
+    exchange.doubt();
+    loseOperation();
+    if (notRun) {
+        m_result = AttemptResult::Unjudged;
+        wire::AnswerT answer = newAnswer(Outcome::NotRun);
+        answer.reason = static_cast<wire::NotRunReason>(verdict.reason);
+        answer.detail = "the upstream did not run the request";
+        answer.reachedUpstream = true;
+        return finish(std::move(answer), yield);
+    }
+    m_result = AttemptResult::Failed;
+    m_broken = true;
+    answerUnknown("the upstream's answer cannot be passed on", yield);
+}
+
 void GateRun::relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, const Yield &yield)
 {
     if (isOperation()) {
@@ -390,6 +484,11 @@
     wire::AnswerT answer = newAnswer(Outcome::Unknown);
     answer.detail = "the exchange with the upstream failed: " + cause;
     const SuspectedCrash suspected{address, m_request.service, m_fingerprint};
+    // An upstream that keeps failing has been looked at; each look costs it a connection.
+    const bool known = !m_gate.statistical && m_gate.trustOf(m_servedBy).failuresInRow() > 1;
+    if (known) {
+        return finish(std::move(answer), yield);
+    }
     if (!m_exchange->isCancelled() && m_connectionLost && hasJustCrashed(m_gate, suspected, yield)) {
         noteCrash(m_gate, suspected);
         answer.reason = wire::NotRunReason::Quarantined;
@@ -440,10 +539,7 @@
     answer.upstreamMs = started ? (now - m_startedAt).value : 0;
     answer.digest = bodyDigest(answer.body);
     if (const LocalUpstream *upstream = m_gate.registry.find(m_servedBy.empty() ? m_request.upstream : m_servedBy)) {
-        answer.load = std::make_unique<wire::LoadT>();
-        answer.load->inFlight = static_cast<std::uint32_t>(upstream->queue->running());
-        answer.load->queued = static_cast<std::uint32_t>(upstream->queue->waiting());
-        answer.load->slots = static_cast<std::uint32_t>(upstream->queue->slots());
+        answer.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream));
     }
     return answer;
 }
--- a/packages/daemon/src/gaterun.h
+++ b/packages/daemon/src/gate/gaterun.h
@@ -1,6 +1,7 @@
 /// One request at the gate: admission, the run on the upstream, and its answer.
 #pragma once
 
+#include "admission.h"
 #include "decision/outcome.h"
 #include "framechannel.h"
 #include "gatecontext.h"
@@ -19,10 +20,14 @@
     /// Throws boost::system::system_error or BadFrame when the channel fails. What became of the request is then
     /// recorded all the same.
     void run(const Yield &yield);
+    /// Runs a request whose turn has been granted; the caller holds the slot.
+    void runReserved(Millis grantedAt, const Yield &yield);
 
 private:
     bool resolveFromLedger(const Yield &yield);
     bool admit(Admission admission, const Yield &yield);
+    AdmissionQuery query() const;
+    void checkDigest() const;
     void runOnUpstream(LocalUpstream &upstream, const Yield &yield);
     void execute(LocalUpstream &upstream, const Yield &yield);
     std::unique_ptr<UpstreamExchange> openUpstream(LocalUpstream &upstream, bool fresh, const Yield &yield);
@@ -31,11 +36,15 @@
     void exchangeOnce(UpstreamExchange &exchange, const Yield &yield);
     /// Closes the connection if no answer has begun and the budget allows another try. Tells whether it did.
     bool giveUpIfSilent();
+    Millis silenceLimit() const;
     bool mayMove() const;
     void sendRequest(UpstreamExchange &exchange, const Yield &yield);
     void relayUpload(UpstreamExchange &exchange, const Yield &yield);
     void receiveAnswer(UpstreamExchange &exchange, const Yield &yield);
+    AnswerVerdict receiveOwnHead(UpstreamExchange &exchange, const Yield &yield);
+    void answerDisowned(UpstreamExchange &exchange, const AnswerVerdict &verdict, const Yield &yield);
     void relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, const Yield &yield);
+    void noteTrust(std::uint64_t number, AttemptResult result, bool broken);
     void loseOperation();
     void recordFailure(const Endpoint &address, const std::string &cause, const Yield &yield);
 
@@ -69,6 +78,7 @@
     Millis m_arrivedAt;
     Millis m_startedAt;
     bool m_headReceived = false;
+    bool m_broken = false; ///< the connection broke, or what came is no answer
     bool m_connectionLost = false; ///< the exchange failed, and not by a timeout
     AttemptResult m_result = AttemptResult::Unjudged;
     std::string m_servedBy;
--- a/packages/daemon/src/slotturns.cpp
+++ b/packages/daemon/src/gate/slotturns.cpp
@@ -2,10 +2,11 @@
 
 namespace mustardpond {
 
-Turn SlotTurns::take(const std::shared_ptr<SlotQueue> &queue, Millis deadline, Millis remaining, const Yield &yield)
+Turn SlotTurns::take(const std::shared_ptr<SlotQueue> &queue, const TurnOrder &order, Millis remaining,
+                     const Yield &yield)
 {
     const std::uint64_t ticket = m_nextTicket++;
-    switch (queue->request(ticket, deadline)) {
+    switch (queue->request(ticket, order.deadline, order.rank)) {
     case SlotDecision::Granted:
         return Turn::Taken;
     case SlotDecision::Full:
@@ -26,6 +27,14 @@
     return Turn::Expired;
 }
 
+void SlotTurns::cancel(std::uint64_t ticket)
+{
+    const auto waiter = m_waiters.find(ticket);
+    if (waiter != m_waiters.end()) {
+        waiter->second->timer.cancel();
+    }
+}
+
 void SlotTurns::release(const std::shared_ptr<SlotQueue> &queue)
 {
     const auto next = queue->release();
--- a/packages/daemon/src/slotturns.h
+++ b/packages/daemon/src/gate/slotturns.h
@@ -9,6 +9,12 @@
 
 namespace mustardpond {
 
+/// Who goes first among those that wait.
+struct TurnOrder {
+    int rank = 0; ///< lower ranks go first
+    Millis deadline;
+};
+
 enum class Turn : std::uint8_t { Taken, Full, Expired };
 
 /// Not thread-safe; the waiting coroutines run on one context.
@@ -22,7 +28,13 @@
 
     /// Takes a slot, waiting until the deadline if there is room to wait.
     /// @param remaining time until the deadline
-    Turn take(const std::shared_ptr<SlotQueue> &queue, Millis deadline, Millis remaining, const Yield &yield);
+    Turn take(const std::shared_ptr<SlotQueue> &queue, const TurnOrder &order, Millis remaining, const Yield &yield);
+    /// Ends the wait of a ticket, which then has expired.
+    void cancel(std::uint64_t ticket);
+    std::uint64_t nextTicket() const
+    {
+        return m_nextTicket;
+    }
     /// Gives a taken slot back.
     void release(const std::shared_ptr<SlotQueue> &queue);
 
--- /dev/null
+++ b/packages/daemon/src/gate/turnrequest.cpp
@@ -0,0 +1,122 @@
+#include "turnrequest.h"
+
+#include "bodydigest.h"
+
+namespace mustardpond {
+
+namespace {
+
+constexpr Millis SEND_TIMEOUT{5000};
+
+} // namespace
+
+TurnRequest::TurnRequest(GateContext &gate, const wire::ReserveT &reserve, FrameChannel &channel)
+    : m_gate(gate)
+    , m_reserve(reserve)
+    , m_channel(channel)
+    , m_deadline(gate.clock.now() + Millis(reserve.deadlineMs))
+{
+    m_query.service = reserve.service;
+    m_query.upstream = reserve.upstream;
+    m_query.workClass = reserve.workClass;
+    m_query.mayTry = reserve.mayTry;
+    m_query.mustServe = reserve.mustServe;
+    m_query.fingerprint = reserve.fingerprint;
+    m_query.normality = {Millis(reserve.badAboveMs), reserve.peerBadShare};
+}
+
+std::unique_ptr<SlotHold> TurnRequest::obtain(const Yield &yield)
+{
+    if (const auto denial = denialOf(m_gate, m_query, m_gate.clock.now())) {
+        deny(*denial, yield);
+        return nullptr;
+    }
+    const LocalUpstream *upstream = findUpstream(m_gate, m_query);
+    auto hold = waitForSlot(*upstream, yield);
+    if (!hold) {
+        return nullptr;
+    }
+    // The wait may have been long.
+    if (const auto denial = denialOf(m_gate, m_query, m_gate.clock.now())) {
+        hold.reset();
+        deny(*denial, yield);
+        return nullptr;
+    }
+    m_grantedAt = m_gate.clock.now();
+    sendTurn(wire::TurnState::Granted, yield);
+    return hold;
+}
+
+std::unique_ptr<SlotHold> TurnRequest::waitForSlot(const LocalUpstream &upstream, const Yield &yield)
+{
+    const auto queue = upstream.queue;
+    const bool full = queue->running() >= queue->slots() || queue->waiting() > 0;
+    if (full && !m_reserve.mayWait) {
+        deny({NotRunReason::Busy, "all slots of the upstream are taken"}, yield);
+        return nullptr;
+    }
+    if (full) {
+        sendTurn(wire::TurnState::Waiting, yield);
+    }
+    switch (takeTurn(queue, yield)) {
+    case Turn::Full:
+        deny({NotRunReason::Busy, "the upstream's queue is full"}, yield);
+        return nullptr;
+    case Turn::Expired:
+        deny({NotRunReason::Deadline, "the deadline passed in the upstream's queue"}, yield);
+        return nullptr;
+    case Turn::Taken:
+        break;
+    }
+    return std::make_unique<SlotHold>(m_gate.turns, queue);
+}
+
+Turn TurnRequest::takeTurn(const std::shared_ptr<SlotQueue> &queue, const Yield &yield)
+{
+    const Millis remaining(std::max(1.0, (m_deadline - m_gate.clock.now()).value));
+    const TurnOrder order{m_reserve.rank, m_deadline};
+    if (queue->running() < queue->slots() && queue->waiting() == 0) {
+        return m_gate.turns.take(queue, order, remaining, yield);
+    }
+    const std::uint64_t ticket = m_gate.turns.nextTicket();
+    auto waiting = std::make_shared<bool>(true);
+    m_channel.socket().async_wait(tcp::socket::wait_read, [this, ticket, waiting](ErrorCode error) {
+        if (!error && *waiting) {
+            m_gate.turns.cancel(ticket);
+        }
+    });
+    const Turn turn = m_gate.turns.take(queue, order, remaining, yield);
+    *waiting = false;
+    ErrorCode ignored;
+    m_channel.socket().cancel(ignored);
+    return turn;
+}
+
+void TurnRequest::sendTurn(wire::TurnState state, const Yield &yield)
+{
+    wire::TurnT turn;
+    turn.request = m_reserve.request;
+    turn.state = state;
+    if (const LocalUpstream *upstream = findUpstream(m_gate, m_query)) {
+        turn.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream));
+    }
+    m_channel.send(packMessage(std::move(turn)), SEND_TIMEOUT, yield);
+}
+
+void TurnRequest::deny(const Denial &denial, const Yield &yield)
+{
+    wire::AnswerT answer;
+    answer.request = m_reserve.request;
+    answer.outcome = wire::Outcome::NotRun;
+    answer.reason = static_cast<wire::NotRunReason>(denial.reason);
+    answer.detail = denial.detail;
+    answer.digest = bodyDigest(answer.body);
+    if (const LocalUpstream *upstream = findUpstream(m_gate, m_query)) {
+        answer.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream));
+        answer.waitMs =
+            estimatedWait(*upstream, m_gate.trustOf(upstream->announced.id), m_reserve.rank).value;
+    }
+    m_channel.send(packMessage(std::move(answer)), SEND_TIMEOUT, yield);
+}
+
+} // namespace mustardpond
--- /dev/null
+++ b/packages/daemon/src/gate/turnrequest.h
@@ -0,0 +1,40 @@
+/// A router's request for a turn at the upstream, before it sends the request itself.
+#pragma once
+
+#include "admission.h"
+#include "framechannel.h"
+
+#include <memory>
+
+namespace mustardpond {
+
+/// Grants a turn at once, later, or not at all. A router that closes its connection withdraws, without any effect.
+class TurnRequest
+{
+public:
+    TurnRequest(GateContext &gate, const wire::ReserveT &reserve, FrameChannel &channel);
+
+    /// Takes a slot and tells the router. Null when there is none, which the router has been told.
+    /// Throws boost::system::system_error when the channel fails; no slot is held then.
+    std::unique_ptr<SlotHold> obtain(const Yield &yield);
+    /// When the turn was granted, on the gate's clock.
+    Millis grantedAt() const
+    {
+        return m_grantedAt;
+    }
+
+private:
+    std::unique_ptr<SlotHold> waitForSlot(const LocalUpstream &upstream, const Yield &yield);
+    Turn takeTurn(const std::shared_ptr<SlotQueue> &queue, const Yield &yield);
+    void sendTurn(wire::TurnState state, const Yield &yield);
+    void deny(const Denial &denial, const Yield &yield);
+
+    GateContext &m_gate;
+    const wire::ReserveT &m_reserve;
+    FrameChannel &m_channel;
+    AdmissionQuery m_query;
+    Millis m_deadline;
+    Millis m_grantedAt;
+};
+
+} // namespace mustardpond
--- a/packages/daemon/src/upstreamclient.cpp
+++ b/packages/daemon/src/gate/upstreamclient.cpp
@@ -38,9 +38,14 @@
     m_stream->expires_after(toDuration(timeout));
     ErrorCode error;
     http::async_write(*m_stream, *m_serializer, yield[error]);
+    if (error == asio::error::broken_pipe || error == asio::error::connection_reset) {
+        m_doubted = true;
+        return;
+    }
     if (error && error != http::error::need_buffer) {
         throw boost::system::system_error(error);
     }
+    m_bodySent = last;
 }
 
 void UpstreamExchange::receiveHead(Millis timeout, const Yield &yield)
@@ -77,7 +82,7 @@
 
 bool UpstreamExchange::reusable() const
 {
-    return m_parser && m_parser->is_done() && m_parser->get().keep_alive() && m_stream;
+    return m_parser && m_parser->is_done() && m_parser->get().keep_alive() && m_stream && m_bodySent && !m_doubted;
 }
 
 void UpstreamExchange::cancel()
--- a/packages/daemon/src/upstreamclient.h
+++ b/packages/daemon/src/gate/upstreamclient.h
@@ -25,6 +25,7 @@
 
     /// Sends the head; the first byte that can make the upstream run the request.
     void sendHead(http::request<http::buffer_body> &request, Millis timeout, const Yield &yield);
+    /// Stops without an error when the upstream has begun to answer or has closed: what it says is still to be read.
     void sendBody(const std::string &chunk, bool last, Millis timeout, const Yield &yield);
     void receiveHead(Millis timeout, const Yield &yield);
     /// Appends up to a number of bytes of the answer's body. False when the body has ended.
@@ -34,6 +35,11 @@
     {
         return m_parser->get();
     }
+    /// Excludes the connection from further exchanges.
+    void doubt()
+    {
+        m_doubted = true;
+    }
     /// Whether another exchange may follow on the connection.
     bool reusable() const;
     /// Makes pending and later calls fail; tells the upstream to cancel.
@@ -57,6 +63,8 @@
     std::unique_ptr<beast::tcp_stream> m_stream;
     bool m_reused;
     bool m_cancelled = false;
+    bool m_doubted = false;
+    bool m_bodySent = false;
     beast::flat_buffer m_buffer;
     http::request<http::buffer_body> *m_request = nullptr;
     std::optional<http::request_serializer<http::buffer_body>> m_serializer;
--- /dev/null
+++ b/packages/daemon/src/gate/upstreamregistry.cpp
@@ -0,0 +1,205 @@
+#include "upstreamregistry.h"
+
+#include "foundation/events.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr Millis SILENCE_LIMIT{3500};
+
+double loadOf(const LocalUpstream &upstream)
+{
+    const auto requests = upstream.queue->running() + upstream.queue->waiting();
+    return static_cast<double>(requests) / upstream.announced.slots;
+}
+
+void logAnnouncement(const Announcement &announcement)
+{
+    const bool draining = announcement.state == UpstreamState::Draining;
+    const Event event = draining ? Event::UpstreamDraining : Event::UpstreamAnnounced;
+    logEvent(event,
+             {{"upstream", announcement.id},
+              {"service", announcement.service},
+              {"state", nameOf(UPSTREAM_STATE_NAMES, announcement.state)},
+              {"slots", announcement.slots},
+              {"born", announcement.born},
+              {"sequence", announcement.sequence}});
+}
+
+bool leaves(UpstreamState state)
+{
+    return state == UpstreamState::Draining || state == UpstreamState::Gone;
+}
+
+/// Whether an announcement is older than what is known of the same id.
+bool isOlder(const Announcement &announcement, std::uint64_t born, std::uint64_t sequence, UpstreamState state)
+{
+    if (announcement.born != 0 && announcement.born != born) {
+        return announcement.born < born;
+    }
+    const bool returns = leaves(state) && announcement.state < state && born != 0;
+    return returns || (announcement.sequence != 0 && announcement.sequence < sequence);
+}
+
+} // namespace
+
+bool UpstreamRegistry::isLate(const Announcement &announcement) const
+{
+    const auto known = m_upstreams.find(announcement.id);
+    if (known != m_upstreams.end()) {
+        const Announcement &before = known->second.announced;
+        if (isOlder(announcement, before.born, before.sequence, before.state)) {
+            return true;
+        }
+    }
+    const auto recalled = m_recalled.find(announcement.id);
+    if (recalled != m_recalled.end()) {
+        const UpstreamInfo &before = recalled->second;
+        if (isOlder(announcement, before.born, before.sequence, before.state)) {
+            return true;
+        }
+    }
+    // At one address there is one upstream at a time: the one that was born last.
+    return announcement.born != 0
+        && std::any_of(m_upstreams.begin(), m_upstreams.end(), [&announcement](const auto &entry) {
+               return entry.first != announcement.id && entry.second.announced.born > announcement.born;
+           });
+}
+
+AnnounceResult UpstreamRegistry::announce(const Announcement &announcement, Millis now)
+{
+    if (isLate(announcement)) {
+        logEvent(Event::AnnouncementLate,
+                 {{"upstream", announcement.id},
+                  {"born", announcement.born},
+                  {"sequence", announcement.sequence},
+                  {"state", nameOf(UPSTREAM_STATE_NAMES, announcement.state)}});
+        return AnnounceResult::Late;
+    }
+    retireOthers(announcement);
+    const auto found = m_upstreams.find(announcement.id);
+    if (found == m_upstreams.end()) {
+        const auto waiting = announcement.slots * m_waitingPerSlot;
+        auto queue = std::make_shared<SlotQueue>(announcement.slots, waiting);
+        m_upstreams[announcement.id] = {announcement, now, now + announcement.cold, std::move(queue)};
+        logAnnouncement(announcement);
+        publish();
+        return AnnounceResult::Changed;
+    }
+    LocalUpstream &known = found->second;
+    const Announcement before = known.announced;
+    const bool changed = before.state != announcement.state || before.slots != announcement.slots
+        || before.service != announcement.service || before.born != announcement.born;
+    known.lastHeard = now;
+    known.announced = announcement;
+    if (announcement.state == UpstreamState::Gone) {
+        // A farewell names nothing but the id.
+        known.announced.service = before.service;
+        known.announced.address = before.address;
+        known.announced.slots = before.slots;
+        known.announced.born = std::max(before.born, announcement.born);
+        known.announced.sequence = std::max(before.sequence, announcement.sequence);
+    }
+    known.coldUntil = now + announcement.cold;
+    known.queue->resize(known.announced.slots);
+    if (!changed) {
+        return AnnounceResult::Unchanged;
+    }
+    logAnnouncement(known.announced);
+    publish();
+    return AnnounceResult::Changed;
+}
+
+void UpstreamRegistry::retireOthers(const Announcement &announcement)
+{
+    if (announcement.born == 0) {
+        return;
+    }
+    for (auto &[id, upstream] : m_upstreams) {
+        if (id != announcement.id && upstream.announced.born < announcement.born) {
+            upstream.announced.state = UpstreamState::Gone;
+        }
+    }
+}
+
+void UpstreamRegistry::recall(const UpstreamInfo &info)
+{
+    const auto known = m_recalled.find(info.id);
+    const bool newer = known == m_recalled.end() || info.born > known->second.born
+        || (info.born == known->second.born && info.sequence >= known->second.sequence);
+    if (!newer) {
+        return;
+    }
+    m_recalled[info.id] = info;
+    const auto found = m_upstreams.find(info.id);
+    const bool binds = found != m_upstreams.end() && leaves(info.state) && found->second.announced.born == info.born
+        && found->second.announced.state < info.state;
+    if (binds) {
+        found->second.announced.state = info.state;
+        publish();
+    }
+}
+
+void UpstreamRegistry::expire(Millis now)
+{
+    bool changed = false;
+    for (auto &[id, upstream] : m_upstreams) {
+        const bool silent = now - upstream.lastHeard > SILENCE_LIMIT;
+        if (m_expires && upstream.announced.state != UpstreamState::Gone && silent) {
+            upstream.announced.state = UpstreamState::Gone;
+            logEvent(Event::UpstreamGone, {{"upstream", id}, {"service", upstream.announced.service}});
+            changed = true;
+        }
+    }
+    if (changed) {
+        publish();
+    }
+}
+
+LocalUpstream *UpstreamRegistry::find(const std::string &id)
+{
+    const auto found = m_upstreams.find(id);
+    return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+LocalUpstream *UpstreamRegistry::leastLoaded(const std::string &service)
+{
+    LocalUpstream *best = nullptr;
+    for (auto &[id, upstream] : m_upstreams) {
+        const bool serves = upstream.announced.service == service && upstream.announced.state == UpstreamState::Ready;
+        if (serves && (!best || loadOf(upstream) < loadOf(*best))) {
+            best = &upstream;
+        }
+    }
+    return best;
+}
+
+std::vector<UpstreamInfo> UpstreamRegistry::infos() const
+{
+    std::vector<UpstreamInfo> list;
+    for (const auto &[id, upstream] : m_upstreams) {
+        const Announcement &announced = upstream.announced;
+        list.push_back(
+            {id, announced.service, announced.state, announced.slots, announced.born, announced.sequence});
+    }
+    for (const auto &[id, info] : m_recalled) {
+        if (m_upstreams.count(id) == 0 && leaves(info.state)) {
+            list.push_back(info);
+        }
+    }
+    return list;
+}
+
+void UpstreamRegistry::publish()
+{
+    if (m_onChange) {
+        m_onChange(infos());
+    }
+}
+
+} // namespace mustardpond
--- a/packages/daemon/src/upstreamregistry.h
+++ b/packages/daemon/src/gate/upstreamregistry.h
@@ -1,7 +1,7 @@
 /// The backend servers of this host, as they announce themselves.
 #pragma once
 
-#include "config/daemonsettings.h"
+#include "announcement.h"
 #include "decision/slotqueue.h"
 #include "membership/member.h"
 
@@ -13,32 +13,29 @@
 
 namespace mustardpond {
 
-/// What a backend server says of itself, at its start and then every second.
-struct Announcement {
-    std::string id;
-    std::string service;
-    Endpoint address;
-    UpstreamState state = UpstreamState::Ready;
-    std::uint32_t slots = 1;
-};
-
-/// Throws InvalidDocument or InvalidField.
-Announcement parseAnnouncement(const std::string &text);
-
 struct LocalUpstream {
     Announcement announced;
     Millis lastHeard;
+    Millis coldUntil; ///< slow until then
     std::shared_ptr<SlotQueue> queue;
 };
 
+enum class AnnounceResult : std::uint8_t {
+    Changed, ///< others should know
+    Unchanged,
+    Late, ///< older than what is known
+};
+
 /// Not thread-safe.
 class UpstreamRegistry
 {
 public:
     using ChangeHandler = std::function<void(const std::vector<UpstreamInfo> &)>;
 
-    explicit UpstreamRegistry(std::size_t waitingPerSlot)
+    /// @param expires whether an upstream that announces nothing for a while is taken for gone
+    UpstreamRegistry(std::size_t waitingPerSlot, bool expires)
         : m_waitingPerSlot(waitingPerSlot)
+        , m_expires(expires)
     {
     }
 
@@ -47,7 +44,11 @@
     {
         m_onChange = std::move(handler);
     }
-    void announce(const Announcement &announcement, Millis now);
+    /// Takes over an announcement. One that is older than what is known changes nothing.
+    AnnounceResult announce(const Announcement &announcement, Millis now);
+    /// Takes over what an earlier start of this gate knew, so that a late announcement does not undo it.
+    void recall(const UpstreamInfo &info);
+    std::vector<UpstreamInfo> infos() const;
     /// Marks upstreams that have stopped announcing themselves as gone.
     void expire(Millis now);
     /// Null when there is none.
@@ -61,9 +62,13 @@
 
 private:
     void publish();
+    bool isLate(const Announcement &announcement) const;
+    void retireOthers(const Announcement &announcement);
 
     std::size_t m_waitingPerSlot;
+    bool m_expires;
     std::map<std::string, LocalUpstream> m_upstreams;
+    std::map<std::string, UpstreamInfo> m_recalled; ///< by id, known before this start of the gate
     ChangeHandler m_onChange;
 };
 
--- a/packages/daemon/src/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -21,38 +21,23 @@
 namespace {
 
 constexpr const char OPERATIONS_PATH[] = "/-/operations";
-constexpr const char OPERATION_FIELD[] = "Operation-Id";
-constexpr const char OUTCOME_FIELD[] = "Outcome";
-constexpr const char ORGANISATION_FIELD[] = "Organisation";
-constexpr const char DEADLINE_FIELD[] = "Deadline-Ms";
-constexpr const char IDEMPOTENCY_FIELD[] = "Idempotency-Key";
 constexpr std::size_t PIECE_BYTES = 64 * KIB;
+constexpr std::size_t HEAD_PIECE_BYTES = 1 * KIB;
 constexpr Millis WRITE_TIMEOUT{30000};
 constexpr Millis DRAIN_TIME{500};
 constexpr Millis OPEN_DEADLINE{5000};
+constexpr Millis UNCONFIGURED_RETRY{1000}; ///< when a caller may come again that met a daemon without configuration
+constexpr Millis QUARANTINE_RETRY{60000}; ///< for a request that crashes upstreams
 
-bool isOwnField(const std::string &name)
+std::string textOf(beast::string_view text)
 {
-    const beast::string_view text(name);
-    return beast::iequals(text, OPERATION_FIELD) || beast::iequals(text, DEADLINE_FIELD)
-        || beast::iequals(text, OUTCOME_FIELD);
+    return {text.data(), text.size()};
 }
 
-http::status statusOf(const wire::AnswerT &answer)
+/// A host without its port.
+std::string hostOf(beast::string_view field)
 {
-    if (answer.outcome == wire::Outcome::Unknown) {
-        return http::status::gateway_timeout;
-    }
-    switch (answer.reason) {
-    case wire::NotRunReason::Mismatch:
-        return http::status::conflict;
-    case wire::NotRunReason::Closed:
-        return http::status::gone;
-    case wire::NotRunReason::Quarantined:
-        return http::status::unprocessable_entity;
-    default:
-        return http::status::service_unavailable;
-    }
+    return textOf(field.substr(0, field.find(':')));
 }
 
 struct Opening {
@@ -120,11 +105,20 @@
 bool CallerSession::readHead(const Yield &yield)
 {
     m_parser.emplace();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_router.settings().limits.headBytes));
-    m_parser->body_limit(UNLIMITED_BYTES);
-    m_stream.expires_after(toDuration(m_router.settings().limits.callerIdle));
+    const CallerLimits limits = callerLimits();
+    m_parser->header_limit(static_cast<std::uint32_t>(limits.headBytes));
+    m_parser->body_limit(limits.bodyBytes);
     ErrorCode error;
-    http::async_read_header(m_stream, m_buffer, *m_parser, yield[error]);
+    if (m_buffer.size() == 0) {
+        m_stream.expires_after(toDuration(limits.idleTime));
+        m_buffer.commit(m_stream.async_read_some(m_buffer.prepare(HEAD_PIECE_BYTES), yield[error]));
+    }
+    if (!error) {
+        m_stream.expires_after(toDuration(limits.headTime));
+        http::async_read_header(m_stream, m_buffer, *m_parser, yield[error]);
+    } else if (error == asio::error::eof) {
+        error = http::error::end_of_stream;
+    }
     if (!error) {
         return true;
     }
@@ -161,7 +155,7 @@
         m_stream.expires_after(toDuration(WRITE_TIMEOUT));
         http::async_write(m_stream, proceed, yield);
     }
-    if (head.target() == OPERATIONS_PATH) {
+    if (m_router.dialect().hasOperations() && head.target() == OPERATIONS_PATH) {
         return openOperation(yield);
     }
     proxy(yield);
@@ -182,13 +176,13 @@
         return replyProblem(http::status::service_unavailable, "no configuration has been received yet", yield);
     }
     const auto config = m_router.view().config;
-    const RoutedWork work = config->route(asked->path, asked->method);
+    const RoutedWork work = config->route(asked->path, asked->method, hostOf(m_parser->get()[http::field::host]));
     if (!work.service) {
         return replyProblem(http::status::not_found, "no route for " + asked->method + " " + asked->path, yield);
     }
     request.service = work.service->name;
     request.workClass = *work.workClass;
-    request.organisation = field(ORGANISATION_FIELD);
+    request.organisation = m_router.dialect().read(m_parser->get()).organisation;
     if (refuse(request, yield)) {
         return;
     }
@@ -219,21 +213,26 @@
         request.source = &rest;
         request.bodyBytes = m_parser->content_length() ? *m_parser->content_length() : 0;
     }
+    request.fingerprint = requestFingerprint(request.method, request.target, request.body);
     m_stream.expires_never();
     Dispatch dispatch(m_router.dispatchContext(), request);
+    watchCaller(request, dispatch);
     DispatchResult result = dispatch.run(yield);
+    stopWatching();
+    if (dispatch.hasLeft()) {
+        m_open = false;
+        return;
+    }
     reply(request, std::move(result), startedAt, yield);
 }
 
 bool CallerSession::classify(CallerRequest &request, const Yield &yield)
 {
     const auto &head = m_parser->get();
-    if (!field(IDEMPOTENCY_FIELD).empty()) {
+    const CallerTerms terms = m_router.dialect().read(head);
+    if (!terms.problem.empty()) {
         m_open = false;
-        replyProblem(http::status::bad_request,
-                     "Idempotency-Key is not supported: open an operation with POST /-/operations and send its id as "
-                     "Operation-Id",
-                     yield);
+        replyProblem(http::status::bad_request, terms.problem, yield);
         return false;
     }
     if (!m_router.awaitConfiguration(OPEN_DEADLINE, yield)) {
@@ -243,19 +242,23 @@
     }
     const auto config = m_router.view().config;
     const RoutedWork work = config->route({head.target().data(), head.target().size()},
-                                          {head.method_string().data(), head.method_string().size()});
+                                          {head.method_string().data(), head.method_string().size()},
+                                          hostOf(head[http::field::host]));
     if (!work.service) {
         m_open = false;
         replyProblem(http::status::not_found, "no route for " + std::string(head.target()), yield);
         return false;
     }
-    request.service = work.service->name;
+    request.service = m_router.partOf(*work.route);
     request.workClass = *work.workClass;
-    request.organisation = field(ORGANISATION_FIELD);
-    request.operation = field(OPERATION_FIELD);
+    request.id = terms.requestId;
+    request.organisation = terms.organisation;
+    request.operation = terms.operation;
     request.method = std::string(head.method_string());
     request.target = std::string(head.target());
-    request.deadline = m_router.clock().now() + deadlineFor(request.workClass);
+    request.inner = isInner();
+    const Millis limit = request.workClass.deadline;
+    request.deadline = m_router.clock().now() + Millis(std::min(terms.timeLeft.value_or(limit).value, limit.value));
     takeHeaders(request);
     return true;
 }
@@ -273,16 +276,15 @@
         return false;
     }
     m_open = m_open && m_parser->is_done();
-    wire::AnswerT answer;
-    answer.outcome = wire::Outcome::NotRun;
-    answer.reason = wire::NotRunReason::Refused;
+    RouterAnswer answer;
+    answer.reason = NotRunReason::Refused;
     answer.detail = "refused under " + refusal->id + ", approved by " + refusal->director;
     ServedRequest served;
     served.service = request.service;
     served.workClass = request.workClass.name;
     served.refused = true;
     m_router.burn().add(served, m_router.clock().now());
-    replyOutcome(http::status::service_unavailable, answer, yield);
+    replyOwn(http::status::service_unavailable, answer, yield);
     return true;
 }
 
@@ -305,6 +307,10 @@
     }
     m_open = false;
     const bool slow = failure == beast::error::timeout;
+    if (failure == http::error::body_limit) {
+        replyProblem(http::status::payload_too_large, "the body is too large: send a smaller one", yield);
+        return false;
+    }
     replyProblem(slow ? http::status::request_timeout : http::status::bad_request,
                  slow ? "the body did not arrive in time: send it faster"
                       : "the body is incomplete (" + failure.message() + "): send it whole",
@@ -316,7 +322,7 @@
 {
     for (const auto &entry : m_parser->get()) {
         const std::string name(entry.name_string());
-        if (isHopByHop(entry.name()) || isOwnField(name)) {
+        if (isHopByHop(entry.name()) || m_router.dialect().isForRouter(name) || isConnectionField(name)) {
             continue;
         }
         auto header = std::make_unique<wire::HeaderT>();
@@ -324,6 +330,67 @@
         header->value = std::string(entry.value());
         request.headers.push_back(std::move(header));
     }
+    const std::string callerField = m_router.dialect().callerField();
+    if (!callerField.empty()) {
+        auto header = std::make_unique<wire::HeaderT>();
+        header->name = callerField;
+        header->value = m_router.settings().service;
+        request.headers.push_back(std::move(header));
+    }
+}
+
+bool CallerSession::isConnectionField(const std::string &name) const
+{
+    const http::token_list tokens(m_parser->get()[http::field::connection]);
+    return std::any_of(tokens.begin(), tokens.end(), [&name](beast::string_view token) {
+        return beast::iequals(token, name);
+    });
+}
+
+bool CallerSession::isInner() const
+{
+    ErrorCode error;
+    const auto peer = m_stream.socket().remote_endpoint(error);
+    const auto &upstream = m_router.settings().upstream;
+    return !error && upstream && peer.address().to_string() == upstream->address;
+}
+
+void CallerSession::watchCaller(const CallerRequest &request, Dispatch &dispatch)
+{
+    m_watch = std::make_shared<bool>(true);
+    if (request.source) {
+        return;
+    }
+    m_stream.socket().async_wait(tcp::socket::wait_read, [this, watch = m_watch, &request, &dispatch](ErrorCode error) {
+        if (error || !*watch) {
+            return;
+        }
+        char next = 0;
+        ErrorCode state;
+        const auto peeked =
+            m_stream.socket().receive(asio::buffer(&next, 1), tcp::socket::message_peek, state);
+        if (state || peeked == 0) {
+            logEvent(Event::RequestLeft, {{"request", request.id}, {"service", request.service}});
+            dispatch.leave();
+        }
+    });
+}
+
+void CallerSession::stopWatching()
+{
+    *m_watch = false;
+    ErrorCode ignored;
+    m_stream.socket().cancel(ignored);
+}
+
+CallerLimits CallerSession::callerLimits() const
+{
+    const DaemonLimits &own = m_router.settings().limits;
+    const auto &config = m_router.view().config;
+    if (config && config->callerLimits()) {
+        return *config->callerLimits();
+    }
+    return {own.headBytes, UNLIMITED_BYTES, own.callerIdle, own.callerIdle};
 }
 
 void CallerSession::reply(const CallerRequest &request, DispatchResult result, Millis startedAt, const Yield &yield)
@@ -338,7 +405,26 @@
     if (result.answer.outcome == wire::Outcome::Ran) {
         return replyRan(request, result, yield);
     }
-    replyOutcome(statusOf(result.answer), result.answer, yield);
+    RouterAnswer own{static_cast<Outcome>(result.answer.outcome), static_cast<NotRunReason>(result.answer.reason),
+                     result.answer.detail, result.retryAfter, result.timedOut};
+    if (own.reason == NotRunReason::Quarantined) {
+        own.retryAfter = QUARANTINE_RETRY;
+    }
+    logOwn(request, own, startedAt);
+    replyOwn(m_router.dialect().statusOf(own), own, yield);
+}
+
+void CallerSession::logOwn(const CallerRequest &request, const RouterAnswer &answer, Millis startedAt)
+{
+    logEvent(answer.outcome == Outcome::NotRun ? Event::RequestRefused : Event::RequestFailed,
+             {{"request", request.id},
+              {"service", request.service},
+              {"class", request.workClass.name},
+              {"reason", nameOf(NOT_RUN_REASON_NAMES, answer.reason)},
+              {"detail", answer.detail},
+              {"afterMs", (m_router.clock().now() - startedAt).value},
+              {"leftMs", (request.deadline - m_router.clock().now()).value},
+              {"retryAfterMs", answer.retryAfter.value}});
 }
 
 void CallerSession::releaseBuffer()
@@ -365,6 +451,17 @@
     served.spilled = result.spilled;
     served.held = result.held;
     m_router.burn().add(served, now);
+    if (whole && !served.good) {
+        logEvent(Event::RequestLate,
+                 {{"request", request.id},
+                  {"class", request.workClass.name},
+                  {"upstream", result.upstream},
+                  {"afterMs", latency.value},
+                  {"targetMs", request.workClass.latencyTarget.value},
+                  {"upstreamMs", result.answer.upstreamMs},
+                  {"queuedMs", result.answer.queuedMs},
+                  {"retried", result.retried}});
+    }
 }
 
 void CallerSession::replyRan(const CallerRequest &request, DispatchResult &result, const Yield &yield)
@@ -376,8 +473,7 @@
     for (const auto &header : answer.headers) {
         response.insert(header->name, header->value);
     }
-    response.set(OUTCOME_FIELD, "ran");
-    response.set("Served-By", result.upstream.empty() ? "operation" : result.upstream);
+    m_router.dialect().decorate({result.upstream}, response);
     response.keep_alive(keepAlive());
     const bool isHead = m_parser->get().method() == http::verb::head;
     if (answer.streamed) {
@@ -419,21 +515,16 @@
 
 void CallerSession::replyProblem(http::status status, const std::string &detail, const Yield &yield)
 {
-    wire::AnswerT answer;
-    answer.outcome = wire::Outcome::NotRun;
+    RouterAnswer answer;
     answer.detail = detail;
-    replyOutcome(status, answer, yield);
+    answer.retryAfter = UNCONFIGURED_RETRY;
+    replyOwn(status, answer, yield);
 }
 
-void CallerSession::replyOutcome(http::status status, const wire::AnswerT &answer, const Yield &yield)
+void CallerSession::replyOwn(http::status status, const RouterAnswer &answer, const Yield &yield)
 {
-    const auto outcome = nameOf(OUTCOME_NAMES, static_cast<Outcome>(answer.outcome));
-    const auto reason = nameOf(NOT_RUN_REASON_NAMES, static_cast<NotRunReason>(answer.reason));
     http::response<http::string_body> response(status, 11);
-    response.set(http::field::content_type, "application/json");
-    response.set(OUTCOME_FIELD, beast::string_view(outcome.data(), outcome.size()));
-    const nlohmann::json document = {{"outcome", outcome}, {"reason", reason}, {"detail", answer.detail}};
-    response.body() = document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    m_router.dialect().spell(answer, response);
     replyText(response, yield);
 }
 
@@ -452,21 +543,6 @@
     return {m_stream, m_buffer, *m_parser, m_router.settings().limits.callerIdle};
 }
 
-std::string CallerSession::field(const std::string &name) const
-{
-    return std::string(m_parser->get()[name]);
-}
-
-Millis CallerSession::deadlineFor(const WorkClass &workClass) const
-{
-    const std::string text = field(DEADLINE_FIELD);
-    std::int64_t wanted = 0;
-    const auto result = std::from_chars(text.data(), text.data() + text.size(), wanted);
-    const bool valid = !text.empty() && result.ec == std::errc() && wanted > 0;
-    const Millis asked(static_cast<double>(wanted));
-    return valid ? Millis(std::min(asked.value, workClass.deadline.value)) : workClass.deadline;
-}
-
 bool CallerSession::keepAlive() const
 {
     return m_open && m_parser->is_done() && m_parser->get().keep_alive() && !m_router.isLeaving();
--- a/packages/daemon/src/callersession.h
+++ b/packages/daemon/src/router/callersession.h
@@ -2,8 +2,11 @@
 #pragma once
 
 #include "callerbody.h"
+#include "callerdialect.h"
+#include "config/objects.h"
 #include "dispatch.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -44,11 +47,17 @@
     void releaseBuffer();
     CallerBody bodyReader();
     void replyProblem(http::status status, const std::string &detail, const Yield &yield);
-    void replyOutcome(http::status status, const wire::AnswerT &answer, const Yield &yield);
+    void replyOwn(http::status status, const RouterAnswer &answer, const Yield &yield);
+    void logOwn(const CallerRequest &request, const RouterAnswer &answer, Millis startedAt);
+    /// Tells the dispatch when the caller closes its connection.
+    void watchCaller(const CallerRequest &request, Dispatch &dispatch);
+    void stopWatching();
+    CallerLimits callerLimits() const;
+    bool isConnectionField(const std::string &name) const;
+    /// Whether the upstream beside this daemon is the caller.
+    bool isInner() const;
     void replyText(http::response<http::string_body> &response, const Yield &yield);
     void record(const CallerRequest &request, const DispatchResult &result, Millis startedAt);
-    std::string field(const std::string &name) const;
-    Millis deadlineFor(const WorkClass &workClass) const;
     bool keepAlive() const;
 
     Router &m_router;
@@ -58,6 +67,7 @@
     Millis m_idleSince;
     bool m_busy = false;
     bool m_open = true;
+    std::shared_ptr<bool> m_watch; ///< whether the caller is being watched
 };
 
 } // namespace mustardpond
--- a/packages/daemon/src/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -24,6 +24,21 @@
 constexpr Millis LEAST_ATTEMPT{300};
 constexpr double SILENCE_SHARE = 0.9; ///< of the latency target; then a reused connection is doubted
 constexpr double ATTEMPT_TARGETS = 4; ///< latency targets that one idempotent attempt may take
+constexpr int WAITING_ROUND = 1; ///< from this round on, requests may wait at a gate
+constexpr int MUST_SERVE_ROUND = 2; ///< from this round on, doubtful upstreams have to serve
+constexpr int LAST_PROMPT_ROUND = 5; ///< after this round, a request is refused rather than held
+constexpr Millis LEAST_RETRY_AFTER{200};
+constexpr Millis PATH_PATIENCE{150}; ///< for the first word of a gate, beyond the usual round trip
+constexpr Millis REGION_ROUND_TRIP{30}; ///< to another region and back, with room for jitter
+constexpr double ABANDON_FACTOR = 4; ///< usual service times after which an idempotent attempt is moved
+constexpr Millis LEAST_ABANDON{350};
+constexpr int INNER_RANK = 0; ///< calls of running requests go first
+
+/// How long a gate may take for its first word.
+Millis pathPatience(const UpstreamRef &ref)
+{
+    return ref.distance == Distance::OtherRegion ? PATH_PATIENCE + REGION_ROUND_TRIP : PATH_PATIENCE;
+}
 
 AttemptResult resultOf(const wire::AnswerT &answer)
 {
@@ -53,13 +68,14 @@
 void Dispatch::runFreely(const Yield &yield)
 {
     m_shared.table.retryBudget(m_request.service).onFirstTry();
-    while (remaining() > Millis()) {
+    while (remaining() > Millis() && !m_left) {
         const UpstreamRef *chosen =
-            m_shared.table.choose(m_request.service, m_request.workClass, m_tried, m_shared.clock.now());
+            m_shared.table.choose(m_request.service, m_request.workClass, m_tried, m_shared.clock.now(),
+                                  m_round >= MUST_SERVE_ROUND);
         if (!chosen) {
-            m_result.held = true;
-            m_tried.clear();
-            pause(HOLD_PAUSE, yield);
+            if (endRound(yield)) {
+                return;
+            }
             continue;
         }
         const UpstreamRef ref = *chosen;
@@ -68,26 +84,81 @@
             return;
         }
     }
+    m_result.timedOut = true;
     if (m_maybeRan) {
         return settleUnknown("no answer came before the deadline");
     }
     settleNotRun(NotRunReason::Deadline, "no upstream could take the request before the deadline");
 }
 
+bool Dispatch::endRound(const Yield &yield)
+{
+    m_result.held = true;
+    const bool prompt = m_shared.refusal == RefusalPolicy::Prompt;
+    if (prompt && isHopeless()) {
+        refuse("no upstream can serve the request in the time that is left");
+        return true;
+    }
+    // A request that has run somewhere goes to another upstream, or nowhere.
+    m_tried = m_sentTo;
+    ++m_round;
+    if (m_round > WAITING_ROUND) {
+        pause(HOLD_PAUSE * (m_round - WAITING_ROUND), yield);
+    }
+    return false;
+}
+
+bool Dispatch::isHopeless() const
+{
+    if (m_round < WAITING_ROUND) {
+        return m_leastWait > remaining() - m_shared.table.typicalTime(m_request.service, m_request.workClass.name);
+    }
+    return m_round >= LAST_PROMPT_ROUND;
+}
+
+void Dispatch::refuse(const std::string &detail)
+{
+    m_result.retryAfter = std::max(LEAST_RETRY_AFTER, m_leastWait);
+    if (m_maybeRan) {
+        return settleUnknown(detail);
+    }
+    settleNotRun(NotRunReason::Busy, detail);
+}
+
+void Dispatch::leave()
+{
+    m_left = true;
+    if (m_current) {
+        m_current->close();
+    }
+    if (m_pausing) {
+        m_pausing->cancel();
+    }
+}
+
 bool Dispatch::settle(Attempt attempt, const UpstreamRef &ref)
 {
     const bool notRun = !attempt.failed && attempt.answer.outcome == wire::Outcome::NotRun;
     const bool untouched = attempt.failed && !attempt.reached;
     if (notRun || untouched) {
+        logMove(attempt, ref);
         m_shared.metrics.addHandOver(m_request.service);
         if (notRun && attempt.answer.reason == wire::NotRunReason::Quarantined && !m_maybeRan) {
             m_result.answer = std::move(attempt.answer);
             return true;
         }
+        if (m_bodyConsumed) {
+            settleUnknown("the upstream did not run the request, whose body is used up");
+            return true;
+        }
+        if (notRun && attempt.answer.reachedUpstream) {
+            return !mayMoveOn();
+        }
         return false;
     }
     m_result.upstream = ref.id;
     if (needsRetry(attempt) && mayRetry(attempt)) {
+        logMove(attempt, ref);
         m_maybeRan = true;
         m_result.retried = true;
         m_result.channel.reset();
@@ -103,6 +174,32 @@
     return true;
 }
 
+void Dispatch::logMove(const Attempt &attempt, const UpstreamRef &ref) const
+{
+    logEvent(Event::RequestMoved,
+             {{"request", m_request.id},
+              {"upstream", ref.id},
+              {"node", ref.node},
+              {"round", m_round},
+              {"reason", attempt.failed ? attempt.cause
+                                        : std::string(nameOf(NOT_RUN_REASON_NAMES,
+                                                             static_cast<NotRunReason>(attempt.answer.reason)))},
+              {"waitMs", attempt.answer.waitMs},
+              {"sent", attempt.reached},
+              {"leftMs", remaining().value}});
+}
+
+bool Dispatch::mayMoveOn()
+{
+    const bool more = m_request.workClass.maxAttempts == 0
+        || static_cast<int>(m_sentTo.size()) < m_request.workClass.maxAttempts;
+    if (more && m_shared.table.retryBudget(m_request.service).takeRetry()) {
+        return true;
+    }
+    refuse("the upstream did not run the request, and no other may be tried");
+    return false;
+}
+
 bool Dispatch::needsRetry(const Attempt &attempt) const
 {
     if (attempt.failed || attempt.answer.outcome == wire::Outcome::Unknown) {
@@ -117,16 +214,22 @@
     if (attempt.answer.reason == wire::NotRunReason::Quarantined || isSuspect()) {
         return false;
     }
-    if (m_request.workClass.kind == WorkKind::Irreversible || m_bodyConsumed || remaining() <= Millis()) {
+    if (m_request.workClass.kind == WorkKind::Irreversible || m_bodyConsumed || remaining() <= Millis() || m_left) {
         return false;
     }
+    const int most = m_request.workClass.maxAttempts;
+    if (most > 0 && static_cast<int>(m_sentTo.size()) >= most) {
+        return false;
+    }
+    if (attempt.abandoned) {
+        return true; // the budget has been asked already
+    }
     return m_shared.table.retryBudget(m_request.service).takeRetry();
 }
 
 bool Dispatch::isSuspect() const
 {
-    const auto fingerprint = requestFingerprint(m_request.method, m_request.target, m_request.body);
-    return m_shared.standing && m_shared.standing(fingerprint) != RequestStanding::Clear;
+    return m_shared.standing && m_shared.standing(m_request.fingerprint) != RequestStanding::Clear;
 }
 
 void Dispatch::runOperation(const Yield &yield)
@@ -223,27 +326,129 @@
     attempt.answer.request = start.attempt;
     try {
         const Millis timeout(std::min(CONNECT_TIMEOUT.value, std::max(1.0, remaining().value)));
-        auto channel = freshChannel ? m_shared.pool.connect(ref.gate, timeout, yield)
-                                    : m_shared.pool.take(ref.gate, timeout, yield);
-        exchange(ref, *channel, attempt, yield);
+        std::unique_ptr<FrameChannel> channel;
+        if (judged) {
+            channel = openReserved(ref, attempt, yield);
+        } else {
+            channel = freshChannel ? m_shared.pool.connect(ref.gate, timeout, yield)
+                                   : m_shared.pool.take(ref.gate, timeout, yield);
+        }
+        if (!judged || attempt.reserved) {
+            m_current = channel.get();
+            exchange(ref, *channel, attempt, yield);
+            m_current = nullptr;
+        }
         if (attempt.answer.streamed) {
             m_result.channel = std::move(channel);
         } else {
             m_shared.pool.giveBack(ref.gate, std::move(channel));
         }
-    } catch (const boost::system::system_error &) {
+    } catch (const boost::system::system_error &error) {
         attempt.failed = true;
+        attempt.cause = error.what();
         m_shared.pool.drop(ref.gate);
-    } catch (const Exception &) {
+    } catch (const Exception &error) {
         attempt.failed = true;
+        attempt.cause = error.what();
         m_shared.pool.drop(ref.gate);
     }
-    if (judged) {
+    m_current = nullptr;
+    if (judged && !m_left) {
         noteFinish(ref, start, attempt, startedAt);
     }
     return attempt;
 }
 
+std::unique_ptr<FrameChannel> Dispatch::openReserved(const UpstreamRef &ref, Attempt &attempt, const Yield &yield)
+{
+    if (auto channel = m_shared.pool.takeIdle(ref.gate)) {
+        try {
+            attempt.reserved = reserveTurn(ref, *channel, attempt, yield);
+            return channel;
+        } catch (const boost::system::system_error &error) {
+            // Asking has no effect: a kept connection that has gone silent or was closed is simply replaced.
+            if (error.code() == beast::error::timeout) {
+                logEvent(Event::ConnectionSilent, {{"gate", ref.gate}});
+            }
+            m_shared.pool.drop(ref.gate);
+        }
+    }
+    if (m_left) {
+        throw boost::system::system_error(asio::error::operation_aborted);
+    }
+    auto channel = m_shared.pool.connect(ref.gate, pathPatience(ref), yield);
+    attempt.reserved = reserveTurn(ref, *channel, attempt, yield);
+    return channel;
+}
+
+bool Dispatch::reserveTurn(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield)
+{
+    m_current = &channel;
+    const std::uint64_t number = attempt.answer.request;
+    channel.send(packMessage(reservation(ref, number)), SEND_TIMEOUT, yield);
+    Millis patience = pathPatience(ref);
+    while (true) {
+        wire::FrameT frame = channel.receive(patience, yield);
+        if (auto *denial = frame.body.AsAnswer()) {
+            if (denial->request != number) {
+                rejectFrame(frame);
+            }
+            noteDenial(*denial);
+            attempt.answer = std::move(*denial);
+            m_current = nullptr;
+            return false;
+        }
+        const auto *turn = frame.body.AsTurn();
+        if (!turn || turn->request != number) {
+            rejectFrame(frame);
+        }
+        if (turn->state == wire::TurnState::Granted) {
+            m_current = nullptr;
+            return true;
+        }
+        patience = Millis(std::max(1.0, remaining().value));
+    }
+}
+
+void Dispatch::noteDenial(const wire::AnswerT &denial)
+{
+    if (denial.reason == wire::NotRunReason::Busy || denial.reason == wire::NotRunReason::Suspect) {
+        const Millis wait(denial.waitMs);
+        m_leastWait = m_leastWait < Millis() ? wait : std::min(m_leastWait, wait);
+    }
+}
+
+wire::ReserveT Dispatch::reservation(const UpstreamRef &ref, std::uint64_t number) const
+{
+    wire::ReserveT reserve;
+    reserve.request = number;
+    reserve.service = m_request.service;
+    reserve.upstream = ref.id;
+    reserve.workClass = m_request.workClass.name;
+    reserve.kind = static_cast<wire::WorkKind>(m_request.workClass.kind);
+    reserve.rank = static_cast<std::uint8_t>(m_request.inner ? INNER_RANK : m_request.workClass.priority + 1);
+    reserve.deadlineMs = std::max(0.0, remaining().value);
+    reserve.fingerprint = m_request.fingerprint;
+    const Millis now = m_shared.clock.now();
+    const Normality normality = m_shared.table.normality(m_request.service, ref.id, m_request.workClass, now);
+    reserve.badAboveMs = normality.badAbove.value;
+    reserve.peerBadShare = normality.peerBadShare;
+    reserve.mayWait = m_round >= WAITING_ROUND || m_shared.refusal == RefusalPolicy::Director;
+    const int most = m_request.workClass.maxAttempts;
+    reserve.mayTry = m_request.workClass.kind == WorkKind::Idempotent && !m_request.source && !m_maybeRan
+        && (most == 0 || static_cast<int>(m_sentTo.size()) + 1 < most)
+        && m_shared.table.retryBudget(m_request.service).hasRetry();
+    reserve.mustServe = m_round >= MUST_SERVE_ROUND
+        || m_shared.table.mustServe(m_request.service, ref.id, m_request.workClass.name);
+    return reserve;
+}
+
+Millis Dispatch::abandonAfter(const UpstreamRef &ref) const
+{
+    const Millis typical = m_shared.table.typicalTime(m_request.service, m_request.workClass.name);
+    return Millis(std::max(LEAST_ABANDON.value, typical.value * ABANDON_FACTOR)) + pathPatience(ref);
+}
+
 void Dispatch::exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield)
 {
     const bool crosses = ref.distance == Distance::OtherRegion;
@@ -251,6 +456,7 @@
     const std::uint64_t number = attempt.answer.request;
     const std::string bytes = packMessage(message(ref, number));
     attempt.reached = true;
+    m_sentTo.insert(ref.id);
     channel.send(bytes, SEND_TIMEOUT, yield);
     if (m_request.source) {
         sendStream(channel, number, attempt, yield);
@@ -258,31 +464,40 @@
             return;
         }
     }
-    auto answer = receiveAnswer(channel, number, attempt, yield);
+    auto answer = receiveAnswer(ref, channel, attempt, yield);
     if (!answer.streamed && bodyDigest(answer.body) != answer.digest) {
         throw BadFrame("an answer's body does not match its digest: check the link between the daemons");
     }
     attempt.answer = std::move(answer);
 }
 
-wire::AnswerT Dispatch::receiveAnswer(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield)
+wire::AnswerT Dispatch::receiveAnswer(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt,
+                                      const Yield &yield)
 {
-    if (!mayMove(channel)) {
+    const std::uint64_t number = attempt.answer.request;
+    if (!mayMove(channel, attempt)) {
         return channel.receiveFor<wire::AnswerT>(number, attemptTimeout(), yield);
     }
-    const Millis limit = m_request.workClass.latencyTarget * SILENCE_SHARE;
+    const Millis limit = attempt.reserved ? abandonAfter(ref) : m_request.workClass.latencyTarget * SILENCE_SHARE;
     const SilenceWatch watch(m_shared.context, limit, [this, &channel, &attempt] {
-        attempt.silent = !isSuspect() && m_shared.table.retryBudget(m_request.service).takeRetry();
-        if (attempt.silent) {
+        const bool moves = !isSuspect() && m_shared.table.retryBudget(m_request.service).takeRetry();
+        attempt.silent = moves && !attempt.reserved;
+        attempt.abandoned = moves && attempt.reserved;
+        if (moves) {
             channel.close();
         }
     });
     return channel.receiveFor<wire::AnswerT>(number, attemptTimeout(), yield);
 }
 
-bool Dispatch::mayMove(const FrameChannel &channel) const
+bool Dispatch::mayMove(const FrameChannel &channel, const Attempt &attempt) const
 {
-    const bool repeatable = m_request.workClass.kind != WorkKind::Irreversible || !m_request.operation.empty();
+    const bool irreversible = m_request.workClass.kind == WorkKind::Irreversible;
+    if (attempt.reserved) {
+        const int most = m_request.workClass.maxAttempts;
+        return m_shared.movesSlow && !irreversible && !m_request.source && (most == 0 || static_cast<int>(m_sentTo.size()) < most);
+    }
+    const bool repeatable = !irreversible || !m_request.operation.empty();
     return channel.isReused() && repeatable && !m_request.source;
 }
 
@@ -329,6 +544,9 @@
     } else if (attempt.reached) {
         result = m_request.source || attempt.silent ? AttemptResult::Unjudged : AttemptResult::TimedOut;
     }
+    if (!attempt.reached && !attempt.failed) {
+        result = AttemptResult::Unjudged;
+    }
     const Millis network = elapsed - serviceTime - Millis(attempt.answer.queuedMs);
     m_shared.table.onFinish(m_request.service, start, result, serviceTime, network, now);
     if (attempt.answer.reason == wire::NotRunReason::Suspect) {
@@ -336,7 +554,7 @@
     }
     if (attempt.answer.load) {
         const double requests = attempt.answer.load->inFlight + attempt.answer.load->queued;
-        m_shared.table.onLoad(m_request.service, ref.id, {requests, now});
+        m_shared.table.onLoad(m_request.service, ref.id, {requests, now, Millis(attempt.answer.load->typicalMs)});
     }
 }
 
@@ -363,6 +581,7 @@
     // Only its own gate can run an operation; opening one steers clear of suspects already.
     message.mustServe =
         !m_request.operation.empty() || m_shared.table.mustServe(m_request.service, ref.id, m_request.workClass.name);
+    message.reserved = !ref.id.empty();
     message.streamed = m_request.source != nullptr;
     message.bodyBytes = m_request.bodyBytes;
     if (!message.streamed) {
@@ -375,8 +594,10 @@
 void Dispatch::pause(Millis time, const Yield &yield)
 {
     asio::steady_timer timer(m_shared.context, toDuration(Millis(std::min(time.value, remaining().value))));
+    m_pausing = &timer;
     ErrorCode ignored;
     timer.async_wait(yield[ignored]);
+    m_pausing = nullptr;
 }
 
 void Dispatch::settleNotRun(NotRunReason reason, const std::string &detail)
@@ -405,7 +626,7 @@
 {
     const double left = std::max(1.0, remaining().value);
     const bool oneTry = m_request.workClass.kind == WorkKind::Irreversible && m_request.operation.empty();
-    if (oneTry || m_request.source) {
+    if (oneTry || m_request.source || m_shared.refusal == RefusalPolicy::Prompt) {
         return Millis(left);
     }
     const double patience = std::max(LEAST_ATTEMPT.value, m_request.workClass.latencyTarget.value * ATTEMPT_TARGETS);
--- a/packages/daemon/src/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -24,6 +24,8 @@
     WorkClass workClass;
     std::string organisation;
     std::string operation; ///< empty when the caller opened none
+    std::string id; ///< as the caller named the request; empty when it did not
+    bool inner = false; ///< an upstream's own call, which another request waits for
     std::string method;
     std::string target;
     std::vector<std::unique_ptr<wire::HeaderT>> headers;
@@ -31,6 +33,7 @@
     BodySource *source = nullptr; ///< where the rest of a streamed body comes from
     std::uint64_t bodyBytes = 0; ///< announced length of a streamed body; 0 when unknown
     Millis deadline; ///< on the router's clock
+    std::uint64_t fingerprint = 0;
 };
 
 /// The answer, and how it came about.
@@ -41,6 +44,8 @@
     bool retried = false;
     bool spilled = false;
     bool held = false;
+    bool timedOut = false; ///< the time for the answer has run out
+    Millis retryAfter; ///< when a request that has not run may come again
 };
 
 /// What attempts share.
@@ -51,6 +56,8 @@
     GatePool &pool;
     Metrics &metrics;
     std::uint64_t &nextRequest;
+    RefusalPolicy refusal = RefusalPolicy::Director;
+    bool movesSlow = false; ///< idempotent requests are moved when their upstream is much slower than usual
     /// Standing of requests by their fingerprint; null without a gate in the process.
     std::function<RequestStanding(std::uint64_t)> standing;
 };
@@ -67,6 +74,12 @@
     /// Always comes to an answer by the caller's deadline; "not run" only where a gate or the lack of any
     /// attempt proves it.
     DispatchResult run(const Yield &yield);
+    /// The caller has left: gives up what may be given up. To be called while run() waits.
+    void leave();
+    bool hasLeft() const
+    {
+        return m_left;
+    }
 
 private:
     /// What is known after one attempt.
@@ -74,22 +87,37 @@
         wire::AnswerT answer;
         bool reached = false; ///< bytes of the request were handed to the gate
         bool failed = false; ///< no answer came
+        bool reserved = false; ///< a gate granted a turn
+        bool abandoned = false; ///< moved to another upstream for want of an answer
+        std::string cause; ///< of the failure
         bool silent = false; ///< no answer began on a reused connection, which was given up
     };
 
     void runFreely(const Yield &yield);
+    /// Starts the next round when all upstreams have been asked. True when the request is settled instead.
+    bool endRound(const Yield &yield);
+    bool isHopeless() const;
+    void refuse(const std::string &detail);
+    bool reserveTurn(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield);
+    std::unique_ptr<FrameChannel> openReserved(const UpstreamRef &ref, Attempt &attempt, const Yield &yield);
+    wire::ReserveT reservation(const UpstreamRef &ref, std::uint64_t number) const;
+    void noteDenial(const wire::AnswerT &denial);
+    Millis abandonAfter(const UpstreamRef &ref) const;
     void runOperation(const Yield &yield);
     bool settle(Attempt attempt, const UpstreamRef &ref);
+    void logMove(const Attempt &attempt, const UpstreamRef &ref) const;
     Attempt attemptAt(const UpstreamRef &ref, bool freshChannel, const Yield &yield);
     Attempt attemptOnce(const UpstreamRef &ref, bool freshChannel, const Yield &yield);
-    wire::AnswerT receiveAnswer(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield);
-    bool mayMove(const FrameChannel &channel) const;
+    wire::AnswerT receiveAnswer(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield);
+    bool mayMove(const FrameChannel &channel, const Attempt &attempt) const;
     void exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield);
     void sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield);
     void noteFinish(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt, Millis startedAt);
     void closeOperation(const std::string &gate, const Yield &yield);
     bool isSuspect() const;
     bool mayRetry(const Attempt &attempt);
+    /// Whether a request that an upstream has turned away may be sent to another. Settles it otherwise.
+    bool mayMoveOn();
     bool needsRetry(const Attempt &attempt) const;
     wire::ProxyRequestT message(const UpstreamRef &ref, std::uint64_t number) const;
     void pause(Millis time, const Yield &yield);
@@ -101,7 +129,13 @@
     DispatchContext &m_shared;
     CallerRequest &m_request;
     DispatchResult m_result;
-    std::set<std::string> m_tried;
+    std::set<std::string> m_tried; ///< in this round
+    std::set<std::string> m_sentTo; ///< the request itself was sent there
+    int m_round = 0;
+    Millis m_leastWait{-1}; ///< as the gates of this round estimate it; negative when none has said
+    bool m_left = false;
+    FrameChannel *m_current = nullptr; ///< where an exchange is going on
+    asio::steady_timer *m_pausing = nullptr;
     bool m_maybeRan = false; ///< some attempt has no proof that it did not run
     bool m_bodyConsumed = false;
 };
--- a/packages/daemon/src/router.cpp
+++ b/packages/daemon/src/router/router.cpp
@@ -9,21 +9,28 @@
 namespace {
 
 constexpr Millis TICK{20};
+constexpr Millis SLOW_TICK{1000}; ///< where nothing is judged between requests
 constexpr Millis CONFIGURATION_CHECK{50};
 constexpr Millis QUIET_TIME{2000};
 
 } // namespace
 
-Router::Router(asio::io_context &context, const Clock &clock, Random &random, const DaemonSettings &settings)
+Router::Router(asio::io_context &context, const Clock &clock, Random &random, const DaemonSettings &settings,
+               std::shared_ptr<const CallerDialect> dialect)
     : m_context(context)
     , m_clock(clock)
     , m_random(random)
     , m_settings(settings)
-    , m_table(profileForCost(settings.lateDetectionCost), random)
+    , m_dialect(std::move(dialect))
+    , m_table(settings.detection, profileForCost(settings.lateDetectionCost), random)
     , m_pool(context, settings.bindAddress)
     , m_nextRequest(random.next())
-    , m_dispatch{context, clock, m_table, m_pool, m_metrics, m_nextRequest, nullptr}
+    , m_dispatch{context, clock, m_table, m_pool, m_metrics, m_nextRequest,
+                 settings.refusal, settings.detection == Detection::Gates, nullptr}
     , m_listener(std::make_shared<Listener>(context, settings.caller, [this](tcp::socket socket, const Yield &yield) {
+        if (!hasRoom()) {
+            return;
+        }
         CallerSession session(*this, std::move(socket));
         session.run(yield);
     }))
@@ -32,6 +39,7 @@
 
 void Router::start()
 {
+    m_table.setRetryLimits(m_settings.retries);
     m_listener->start();
     asio::spawn(m_context, [this](const Yield &yield) { tick(yield); });
 }
@@ -42,6 +50,27 @@
     m_listener->stop();
 }
 
+bool Router::hasRoom() const
+{
+    return m_sessions.size() < m_settings.limits.callerConnections;
+}
+
+const std::string &Router::partOf(const RouteObject &route)
+{
+    if (route.parts.size() == 1) {
+        return route.parts.front().service;
+    }
+    std::vector<double> weights;
+    for (const RoutePart &part : route.parts) {
+        weights.push_back(part.weight);
+    }
+    auto turns = m_turns.find(route.name);
+    if (turns == m_turns.end() || turns->second.weights() != weights) {
+        turns = m_turns.insert_or_assign(route.name, WeightedTurns(std::move(weights), m_random)).first;
+    }
+    return route.parts[turns->second.next()].service;
+}
+
 void Router::leave()
 {
     m_leaving = true;
@@ -75,8 +104,9 @@
 void Router::tick(const Yield &yield)
 {
     asio::steady_timer timer(m_context);
+    const Millis period = m_settings.detection == Detection::Gates ? SLOW_TICK : TICK;
     while (!m_stopped) {
-        timer.expires_after(toDuration(TICK));
+        timer.expires_after(toDuration(period));
         ErrorCode ignored;
         timer.async_wait(yield[ignored]);
         m_table.tick(m_clock.now());
--- a/packages/daemon/src/router.h
+++ b/packages/daemon/src/router/router.h
@@ -2,12 +2,15 @@
 #pragma once
 
 #include "decision/burn.h"
+#include "dialects.h"
 #include "dispatch.h"
+#include "decision/weightedturns.h"
 #include "net/listener.h"
 
 #include "foundation/kernel.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -21,7 +24,8 @@
     /// Asked to have a director decide on a refusal, when a class of work has outgrown its capacity.
     using SaturationHandler = std::function<void(const std::string &service, const std::string &workClass)>;
 
-    Router(asio::io_context &context, const Clock &clock, Random &random, const DaemonSettings &settings);
+    Router(asio::io_context &context, const Clock &clock, Random &random, const DaemonSettings &settings,
+           std::shared_ptr<const CallerDialect> dialect);
 
     void start() override;
     void stop() override;
@@ -60,6 +64,22 @@
     {
         return m_settings;
     }
+    const CallerDialect &dialect() const
+    {
+        return *m_dialect;
+    }
+    /// Replaces what may change while the daemon runs.
+    void reload(const DaemonSettings &settings)
+    {
+        m_settings.service = settings.service;
+        m_settings.limits = settings.limits;
+    }
+    /// The service that takes the next request of a route.
+    const std::string &partOf(const RouteObject &route);
+    asio::io_context &context()
+    {
+        return m_context;
+    }
     const Clock &clock() const
     {
         return m_clock;
@@ -99,11 +119,14 @@
 
 private:
     void tick(const Yield &yield);
+    bool hasRoom() const;
 
     asio::io_context &m_context;
     const Clock &m_clock;
     Random &m_random;
     DaemonSettings m_settings;
+    std::shared_ptr<const CallerDialect> m_dialect;
+    std::map<std::string, WeightedTurns> m_turns; ///< by route
     RoutingTable m_table;
     GatePool m_pool;
     Metrics m_metrics;
--- a/packages/daemon/src/routingtable.cpp
+++ b/packages/daemon/src/router/routingtable.cpp
@@ -1,5 +1,6 @@
 #include "routingtable.h"
 
+#include "decision/pathdetector.h"
 #include "foundation/events.h"
 
 #include <nlohmann/json.hpp>
@@ -13,6 +14,9 @@
 constexpr double TIME_MEMORY = 0.1; ///< weight of the newest sample
 constexpr Millis DEFAULT_SERVICE_TIME{5};
 constexpr Millis REPORT_LIFETIME{500};
+constexpr double LEAST_WEIGHT = 0.01;
+constexpr double SHARE_MARGIN = 0.75; ///< of the fleet's share; the rest is for calls that repeated runs make
+constexpr double EXTRA_MARGIN = 0.8; ///< for routers that are not known
 
 Millis usualNetwork(Distance distance)
 {
@@ -55,13 +59,28 @@
     for (const auto &[service, upstreams] : m_view->upstreams) {
         updateService(service, upstreams);
     }
+    const RetryLimits retries = shareOfRetries();
     for (auto &[name, state] : m_services) {
+        state.budget.setLimits(retries);
         if (m_view->upstreams.count(name) == 0) {
             updateService(name, {});
         }
     }
 }
 
+RetryLimits RoutingTable::shareOfRetries() const
+{
+    // In any window a router retries at most its burst and its share of the first tries, so the sum over all routers
+    // stays within the fleet's bounds however the requests are spread.
+    const auto routers = static_cast<double>(std::count_if(m_view->members.begin(), m_view->members.end(), takesRequests));
+    RetryLimits limits;
+    limits.share = m_retryLimits.share * SHARE_MARGIN;
+    if (m_retryLimits.extra > 0) {
+        limits.burst = std::max(1.0, m_retryLimits.extra * EXTRA_MARGIN / std::max(1.0, routers));
+    }
+    return limits;
+}
+
 void RoutingTable::updateService(const std::string &name, const std::vector<UpstreamRef> &upstreams)
 {
     ServiceState &state = stateOf(name);
@@ -87,7 +106,7 @@
 }
 
 const UpstreamRef *RoutingTable::choose(const std::string &service, const WorkClass &workClass,
-                                        const std::set<std::string> &excluded, Millis now)
+                                        const std::set<std::string> &excluded, Millis now, bool anyWeight)
 {
     const auto found = m_view->upstreams.find(service);
     if (found == m_view->upstreams.end()) {
@@ -99,6 +118,9 @@
     for (const UpstreamRef &ref : found->second) {
         candidates.push_back(candidateFor(state, ref, workClass, now));
         candidates.back().excluded = excluded.count(ref.id) > 0;
+        if (anyWeight) {
+            candidates.back().weight = std::max(candidates.back().weight, LEAST_WEIGHT);
+        }
     }
     const auto chosen = chooseUpstream(candidates, workClass.latencyTarget, m_random);
     return chosen ? &found->second[*chosen] : nullptr;
@@ -142,6 +164,8 @@
     const auto time = upstream.serviceTimes.find(start.workClass);
     const Millis known = time == upstream.serviceTimes.end() ? serviceTime : time->second;
     upstream.serviceTimes[start.workClass] = blend(known, serviceTime);
+    Millis &typical = state.typicalTimes[start.workClass];
+    typical = typical > Millis() ? blend(typical, serviceTime) : serviceTime;
     const Millis sample(std::max(0.05, network.value));
     upstream.network = upstream.network > Millis() ? blend(upstream.network, sample) : sample;
 }
@@ -160,6 +184,11 @@
     stateOf(service).detector->onGateSuspects(upstream, workClass, now);
 }
 
+Millis RoutingTable::typicalTime(const std::string &service, const std::string &workClass)
+{
+    return stateOf(service).typicalTimes[workClass];
+}
+
 Normality RoutingTable::normality(const std::string &service, const std::string &upstream, const WorkClass &workClass,
                                   Millis now)
 {
@@ -203,7 +232,12 @@
 {
     ServiceState &state = m_services[service];
     if (!state.detector) {
-        state.detector = std::make_unique<SequentialDetector>(m_profile);
+        state.budget.setLimits(shareOfRetries());
+        if (m_detection == Detection::Gates) {
+            state.detector = std::make_unique<PathDetector>();
+        } else {
+            state.detector = std::make_unique<SequentialDetector>(m_profile);
+        }
     }
     return state;
 }
--- a/packages/daemon/src/routingtable.h
+++ b/packages/daemon/src/router/routingtable.h
@@ -1,6 +1,7 @@
 /// What a router remembers of the upstreams between requests: loads, times and verdicts.
 #pragma once
 
+#include "config/daemonsettings.h"
 #include "decision/balancer.h"
 #include "decision/detector.h"
 #include "decision/retrybudget.h"
@@ -19,18 +20,25 @@
 struct ReportedLoad {
     double requests = 0; ///< running and waiting
     Millis at;
+    Millis typical; ///< usual service time there, of all classes
 };
 
 /// Not thread-safe.
 class RoutingTable
 {
 public:
-    RoutingTable(DetectionProfile profile, Random &random)
-        : m_profile(profile)
+    RoutingTable(Detection detection, DetectionProfile profile, Random &random)
+        : m_detection(detection)
+        , m_profile(profile)
         , m_random(random)
     {
     }
 
+    /// Bounds of the retries of all routers together; each keeps to its share of them.
+    void setRetryLimits(const FleetRetryLimits &limits)
+    {
+        m_retryLimits = limits;
+    }
     void update(std::shared_ptr<const FleetView> view);
     const std::shared_ptr<const FleetView> &view() const
     {
@@ -38,8 +46,9 @@
     }
 
     /// Chooses an upstream; null when none can take the request.
+    /// @param anyWeight whether upstreams that are otherwise avoided may be chosen
     const UpstreamRef *choose(const std::string &service, const WorkClass &workClass,
-                              const std::set<std::string> &excluded, Millis now);
+                              const std::set<std::string> &excluded, Millis now, bool anyWeight = false);
 
     void onStart(const std::string &service, const AttemptStart &start, Millis now);
     /// @param network time of the attempt outside the gate
@@ -49,6 +58,8 @@
 
     void onGateSuspects(const std::string &service, const std::string &upstream, const std::string &workClass,
                         Millis now);
+    /// Usual service time of a class of work at the upstreams of a service.
+    Millis typicalTime(const std::string &service, const std::string &workClass);
     /// What to tell an upstream's gate with a request.
     Normality normality(const std::string &service, const std::string &upstream, const WorkClass &workClass,
                         Millis now);
@@ -77,6 +88,7 @@
         std::unique_ptr<Detector> detector;
         RetryBudget budget;
         std::unordered_map<std::string, UpstreamState> upstreams;
+        std::map<std::string, Millis> typicalTimes; ///< by class
     };
 
     ServiceState &stateOf(const std::string &service);
@@ -84,7 +96,10 @@
     Candidate candidateFor(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass, Millis now);
     void logChange(const std::string &service, const HealthChange &change) const;
 
+    Detection m_detection;
     DetectionProfile m_profile;
+    FleetRetryLimits m_retryLimits;
+    RetryLimits shareOfRetries() const;
     Random &m_random;
     std::shared_ptr<const FleetView> m_view = std::make_shared<FleetView>();
     std::map<std::string, ServiceState> m_services;
--- a/packages/decision/include/decision/operationid.h
+++ b/packages/decision/include/decision/operationid.h
@@ -15,6 +15,9 @@
     std::uint64_t low = 0;
 };
 
+/// As 32 hexadecimal digits.
+std::string toString(const Incarnation &incarnation);
+
 bool operator==(const Incarnation &a, const Incarnation &b);
 bool operator!=(const Incarnation &a, const Incarnation &b);
 bool operator<(const Incarnation &a, const Incarnation &b);
--- a/packages/decision/include/decision/retrybudget.h
+++ b/packages/decision/include/decision/retrybudget.h
@@ -23,6 +23,11 @@
     void onFirstTry();
     /// Takes one retry from the budget; false when there is none.
     bool takeRetry();
+    bool hasRetry() const
+    {
+        return m_tokens >= 1;
+    }
+    void setLimits(RetryLimits limits);
 
 private:
     RetryLimits m_limits;
--- a/packages/decision/include/decision/slotqueue.h
+++ b/packages/decision/include/decision/slotqueue.h
@@ -1,4 +1,5 @@
-/// Admission to one upstream: a bounded number of running requests and a queue ordered by deadline.
+/// Admission to one upstream: a bounded number of running requests and a queue ordered by rank, then deadline. It answers
+/// a load that exceeds the slots for a while: what others wait for goes first, so that no slot waits behind new work.
 #pragma once
 
 #include "foundation/clock.h"
@@ -19,7 +20,8 @@
     /// @param waiting requests that may wait for a slot
     SlotQueue(std::size_t slots, std::size_t waiting);
 
-    SlotDecision request(std::uint64_t ticket, Millis deadline);
+    /// @param rank lower ranks get a slot first
+    SlotDecision request(std::uint64_t ticket, Millis deadline, int rank = 0);
     /// Gives a slot back. Returns the waiting ticket that now holds it, if any; expired ones come first
     /// and must be answered by the owner.
     std::optional<std::uint64_t> release();
@@ -30,6 +32,9 @@
     /// Grants a free slot to the waiting ticket with the earliest deadline, if both exist.
     std::optional<std::uint64_t> grantNext();
 
+    /// Waiting requests that would go before a new one of the rank.
+    std::size_t waitingBefore(int rank) const;
+
     std::size_t running() const
     {
         return m_running;
@@ -45,6 +50,7 @@
 
 private:
     struct Waiting {
+        int rank;
         Millis deadline;
         std::uint64_t ticket;
         bool operator<(const Waiting &other) const;
--- a/packages/decision/include/decision/workclass.h
+++ b/packages/decision/include/decision/workclass.h
@@ -25,6 +25,8 @@
     Millis latencyTarget; ///< within which an answer counts as good
     double successTarget = 0; ///< share of requests that must be good, in [0, 1)
     Millis deadline; ///< after which a caller is answered in any case
+    int priority = 1; ///< 0 is the most urgent
+    int maxAttempts = 0; ///< upstreams that one request may be sent to; 0 for no limit
 };
 
 } // namespace mustardpond
--- a/packages/decision/src/operationid.cpp
+++ b/packages/decision/src/operationid.cpp
@@ -26,6 +26,11 @@
 
 } // namespace
 
+std::string toString(const Incarnation &incarnation)
+{
+    return fmt::format("{:016x}{:016x}", incarnation.high, incarnation.low);
+}
+
 bool operator==(const Incarnation &a, const Incarnation &b)
 {
     return a.high == b.high && a.low == b.low;
--- a/packages/decision/src/retrybudget.cpp
+++ b/packages/decision/src/retrybudget.cpp
@@ -9,6 +9,12 @@
     m_tokens = std::min(m_limits.burst, m_tokens + m_limits.share);
 }
 
+void RetryBudget::setLimits(RetryLimits limits)
+{
+    m_limits = limits;
+    m_tokens = std::min(m_tokens, limits.burst);
+}
+
 bool RetryBudget::takeRetry()
 {
     if (m_tokens < 1) {
--- a/packages/decision/src/slotqueue.cpp
+++ b/packages/decision/src/slotqueue.cpp
@@ -6,6 +6,9 @@
 
 bool SlotQueue::Waiting::operator<(const Waiting &other) const
 {
+    if (rank != other.rank) {
+        return rank < other.rank;
+    }
     return deadline != other.deadline ? deadline < other.deadline : ticket < other.ticket;
 }
 
@@ -15,7 +18,7 @@
 {
 }
 
-SlotDecision SlotQueue::request(std::uint64_t ticket, Millis deadline)
+SlotDecision SlotQueue::request(std::uint64_t ticket, Millis deadline, int rank)
 {
     if (m_running < m_slots && m_waiting.empty()) {
         ++m_running;
@@ -24,7 +27,7 @@
     if (m_waiting.size() >= m_maxWaiting) {
         return SlotDecision::Full;
     }
-    m_waiting.insert({deadline, ticket});
+    m_waiting.insert({rank, deadline, ticket});
     return SlotDecision::Queued;
 }
 
@@ -45,6 +48,12 @@
     return true;
 }
 
+std::size_t SlotQueue::waitingBefore(int rank) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_waiting.begin(), m_waiting.end(), [rank](const Waiting &w) { return w.rank <= rank; }));
+}
+
 void SlotQueue::resize(std::size_t slots)
 {
     m_slots = slots;
--- /dev/null
+++ b/packages/decision/src/upstreamtrust.cpp
@@ -0,0 +1,119 @@
+#include "decision/upstreamtrust.h"
+
+#include <algorithm>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr Millis TRIAL_PAUSE{400}; ///< after the second failure in a row; grows with each further one
+constexpr Millis LONGEST_TRIAL_PAUSE{1600};
+constexpr Millis UNTRIED_LIMIT{5000}; ///< without any trial, doubts end after this time
+constexpr Millis ERROR_PAIR{2500}; ///< two error answers within this time count as one broken connection
+constexpr int RECOVERED_AFTER = 2; ///< successes in a row; one may be luck while most requests fail
+constexpr double HANG_FACTOR = 5; ///< a run that takes so many usual service times may hang
+constexpr Millis LEAST_HANG{400};
+constexpr double TIME_MEMORY = 0.15; ///< weight of the newest service time
+constexpr int FAILING_STREAK = 2;
+
+Millis blend(Millis known, Millis sample)
+{
+    return known > Millis() ? known + (sample - known) * TIME_MEMORY : sample;
+}
+
+} // namespace
+
+void UpstreamTrust::onStart(std::uint64_t run, const std::string &workClass, Millis now)
+{
+    m_running[run] = {workClass, now};
+}
+
+void UpstreamTrust::onFinish(std::uint64_t run, AttemptResult result, bool broken, Millis now)
+{
+    const auto found = m_running.find(run);
+    if (found == m_running.end()) {
+        return;
+    }
+    const Running finished = found->second;
+    m_running.erase(found);
+    switch (result) {
+    case AttemptResult::Answered:
+        return onSuccess(finished, now);
+    case AttemptResult::Failed:
+    case AttemptResult::TimedOut:
+        return onFailure(broken || result == AttemptResult::TimedOut, now);
+    case AttemptResult::PathFailed:
+    case AttemptResult::Unjudged:
+        return;
+    }
+}
+
+void UpstreamTrust::onSuccess(const Running &run, Millis now)
+{
+    Millis &typical = m_typicalOf[run.workClass];
+    typical = blend(typical, now - run.startedAt);
+    m_typical = blend(m_typical, now - run.startedAt);
+    m_lastSuccess = now;
+    if (run.startedAt <= m_lastFailure) {
+        return;
+    }
+    m_failuresInRow = 0;
+    ++m_successesInRow;
+    if (m_successesInRow >= RECOVERED_AFTER) {
+        m_doubted = false;
+    }
+}
+
+void UpstreamTrust::onFailure(bool broken, Millis now)
+{
+    const bool alone = !broken && now - m_lastError >= ERROR_PAIR;
+    if (!broken) {
+        m_lastError = now;
+    }
+    if (alone) {
+        return; // mostly the request's own error
+    }
+    m_lastFailure = now;
+    m_successesInRow = 0;
+    ++m_failuresInRow;
+    m_doubted = true;
+}
+
+Trust UpstreamTrust::trust(Millis now) const
+{
+    const Millis since = now - m_lastFailure;
+    const bool doubted = m_doubted && since < UNTRIED_LIMIT;
+    if (doubted) {
+        return since < trialPause() || isTried() ? Trust::Failing : Trust::Doubtful;
+    }
+    return hangs(now) ? Trust::Doubtful : Trust::Trusted;
+}
+
+Millis UpstreamTrust::trialPause() const
+{
+    const int further = m_failuresInRow - FAILING_STREAK + 1;
+    return Millis(std::min(LONGEST_TRIAL_PAUSE.value, TRIAL_PAUSE.value * std::max(0, further)));
+}
+
+bool UpstreamTrust::isTried() const
+{
+    return std::any_of(m_running.begin(), m_running.end(),
+                       [this](const auto &entry) { return entry.second.startedAt > m_lastFailure; });
+}
+
+bool UpstreamTrust::hangs(Millis now) const
+{
+    return std::any_of(m_running.begin(), m_running.end(), [this, now](const auto &entry) {
+        const Running &run = entry.second;
+        const Millis limit(std::max(LEAST_HANG.value, typical(run.workClass).value * HANG_FACTOR));
+        return now - run.startedAt > limit && m_lastSuccess < run.startedAt + limit;
+    });
+}
+
+Millis UpstreamTrust::typical(const std::string &workClass) const
+{
+    const auto found = m_typicalOf.find(workClass);
+    return found == m_typicalOf.end() ? m_typical : found->second;
+}
+
+} // namespace mustardpond
--- a/packages/foundation/include/foundation/clock.h
+++ b/packages/foundation/include/foundation/clock.h
@@ -64,7 +64,8 @@
     virtual Millis now() const = 0;
 };
 
-/// The monotonic clock of the operating system.
+/// The monotonic clock of the operating system. It goes on while the host is suspended, so that deadlines and the age
+/// of what is known stay true.
 class SteadyClock : public Clock
 {
 public:
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -17,10 +17,13 @@
     UpstreamAnnounced = 200,
     UpstreamDraining = 201,
     UpstreamGone = 202,
+    AnnouncementLate = 203,
+    AnnouncementInvalid = 204,
     UpstreamEjected = 210,
     UpstreamReturned = 211,
     EjectionHeldByFloor = 212,
     SharedCause = 213,
+    UpstreamTrustChanged = 214,
     RequestQuarantined = 220,
     ConnectionSilent = 230,
     MemberJoined = 300,
@@ -35,9 +38,17 @@
     PeerRejected = 600,
     CallerRejected = 601,
     AnswerDiscarded = 602,
+    AnswerForeign = 603,
+    RequestRefused = 700,
+    RequestFailed = 701,
+    RequestMoved = 702,
+    RequestLate = 703,
+    RequestLeft = 704,
+    SettingsReloaded = 104,
+    ReadyChanged = 105,
 };
 
-constexpr EnumTable<Event, 25> EVENT_NAMES = {{
+constexpr EnumTable<Event, 36> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -49,6 +60,7 @@
     {Event::UpstreamReturned, "upstream-returned"},
     {Event::EjectionHeldByFloor, "ejection-held-by-floor"},
     {Event::SharedCause, "shared-cause"},
+    {Event::UpstreamTrustChanged, "upstream-trust-changed"},
     {Event::RequestQuarantined, "request-quarantined"},
     {Event::ConnectionSilent, "connection-silent"},
     {Event::MemberJoined, "member-joined"},
@@ -63,13 +75,24 @@
     {Event::PeerRejected, "peer-rejected"},
     {Event::CallerRejected, "caller-rejected"},
     {Event::AnswerDiscarded, "answer-discarded"},
+    {Event::AnnouncementLate, "announcement-late"},
+    {Event::AnnouncementInvalid, "announcement-invalid"},
+    {Event::AnswerForeign, "answer-foreign"},
+    {Event::RequestRefused, "request-refused"},
+    {Event::RequestFailed, "request-failed"},
+    {Event::RequestMoved, "request-moved"},
+    {Event::RequestLate, "request-late"},
+    {Event::RequestLeft, "request-left"},
+    {Event::SettingsReloaded, "settings-reloaded"},
+    {Event::ReadyChanged, "ready-changed"},
 }};
 
 enum class LogFormat { Text, Json };
 
 constexpr EnumTable<LogFormat, 2> LOG_FORMAT_NAMES = {{{LogFormat::Text, "text"}, {LogFormat::Json, "json"}}};
 
-/// Sets the process's logger: to standard error, as text or as one JSON object a line.
+/// Sets the process's logger: to standard output, as text or as one JSON object a line. It never blocks.
+/// Before, and in programs that do not call this, events go to spdlog's default logger.
 void openLog(LogFormat format, const std::string &node);
 
 /// Logs an event with its fields, a JSON object. Warnings are events that an operator should look at.
--- a/packages/foundation/include/foundation/fieldreader.h
+++ b/packages/foundation/include/foundation/fieldreader.h
@@ -34,6 +34,10 @@
     bool flag(const std::string &name, bool fallback);
     std::vector<std::string> texts(const std::string &name);
     FieldReader object(const std::string &name);
+    /// A list of any values.
+    const nlohmann::json &list(const std::string &name);
+    /// The entries of an object whose field names are free.
+    nlohmann::json::object_t members(const std::string &name);
 
     template <typename Enum, std::size_t Size>
     Enum choice(const std::string &name, const EnumTable<Enum, Size> &table)
@@ -62,6 +66,8 @@
 
 /// Parses text; throws InvalidDocument naming the source.
 nlohmann::json parseJson(const std::string &text, const std::string &source);
+/// Throws InvalidDocument.
+std::string readTextFile(const std::string &path);
 /// Reads and parses a file; throws InvalidDocument.
 nlohmann::json readJsonFile(const std::string &path);
 
--- a/packages/foundation/src/clock.cpp
+++ b/packages/foundation/src/clock.cpp
@@ -1,6 +1,7 @@
 #include "foundation/clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace mustardpond {
 
@@ -16,7 +17,9 @@
 
 Millis SteadyClock::now() const
 {
-    return toMillis(std::chrono::steady_clock::now().time_since_epoch());
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return toMillis(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 Millis wallClockNow()
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -3,6 +3,7 @@
 #include "foundation/clock.h"
 
 #include <nlohmann/json.hpp>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -10,6 +11,8 @@
 
 namespace {
 
+constexpr std::size_t QUEUED_LINES = 8192;
+
 struct LogState {
     LogFormat format = LogFormat::Text;
     std::string node;
@@ -64,7 +67,11 @@
 void openLog(LogFormat format, const std::string &node)
 {
     logState() = {format, node};
-    auto logger = std::make_shared<spdlog::logger>("mustardpond", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    // A log that nobody reads must not hold up the daemon: the oldest lines make room.
+    spdlog::init_thread_pool(QUEUED_LINES, 1);
+    auto logger = std::make_shared<spdlog::async_logger>("mustardpond", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+                                                         spdlog::thread_pool(),
+                                                         spdlog::async_overflow_policy::overrun_oldest);
     logger->set_pattern(format == LogFormat::Json ? "%v" : "%Y-%m-%dT%H:%M:%S.%e %L " + node + " %v");
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
--- a/packages/foundation/src/fieldreader.cpp
+++ b/packages/foundation/src/fieldreader.cpp
@@ -94,6 +94,26 @@
     return {value, pathOf(name)};
 }
 
+const nlohmann::json &FieldReader::list(const std::string &name)
+{
+    const std::string remedy = "write a list";
+    const auto &value = require(name, remedy);
+    if (!value.is_array()) {
+        fail(name, remedy);
+    }
+    return value;
+}
+
+nlohmann::json::object_t FieldReader::members(const std::string &name)
+{
+    const std::string remedy = "write a JSON object here";
+    const auto &value = require(name, remedy);
+    if (!value.is_object()) {
+        fail(name, remedy);
+    }
+    return value.get<nlohmann::json::object_t>();
+}
+
 void FieldReader::rejectOthers() const
 {
     for (const auto &[name, value] : m_object.items()) {
@@ -135,7 +155,7 @@
     }
 }
 
-nlohmann::json readJsonFile(const std::string &path)
+std::string readTextFile(const std::string &path)
 {
     std::ifstream file(path);
     if (!file) {
@@ -143,7 +163,12 @@
     }
     std::stringstream text;
     text << file.rdbuf();
-    return parseJson(text.str(), path);
+    return text.str();
+}
+
+nlohmann::json readJsonFile(const std::string &path)
+{
+    return parseJson(readTextFile(path), path);
 }
 
 } // namespace mustardpond
--- a/packages/membership/include/membership/member.h
+++ b/packages/membership/include/membership/member.h
@@ -35,6 +35,8 @@
     std::string service;
     UpstreamState state = UpstreamState::Starting;
     std::uint32_t slots = 1;
+    std::uint64_t born = 0; ///< its start, in Unix milliseconds; 0 when it is not told
+    std::uint64_t sequence = 0; ///< of its announcement that this state comes from
 };
 
 /// One start of a daemon.
@@ -47,6 +49,7 @@
     std::string dataCentre;
     std::string inner; ///< address and port for other daemons
     std::string caller; ///< address and port for callers
+    bool seesPlatform = true; ///< whether the platform's store answers it
     std::vector<UpstreamInfo> upstreams;
 };
 
--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -51,10 +51,17 @@
     }
     /// Announces the upstreams of this node.
     void setUpstreams(std::vector<UpstreamInfo> upstreams);
+    /// Announces whether the platform's store answers this node.
+    void setSeesPlatform(bool sees);
     /// Announces that this node leaves. Other members stop sending requests when they hear it.
     void leave();
-    /// Takes over an object from the platform and passes it on if it is new. False when it is not.
+    /// Takes over an object from the platform and passes it on to the whole data centre if it is new. False when it is
+    /// not.
+    bool takeObject(const StoredObject &object);
+    /// Takes over an object and passes it on as a rumour if it is new. False when it is not.
     bool applyObject(const StoredObject &object);
+    /// When tick() has something to do next.
+    Millis nextDue() const;
 
     std::vector<OutgoingGossip> tick(Millis now);
     std::vector<OutgoingGossip> receive(const wire::GossipT &message, Millis now);
@@ -112,7 +119,7 @@
     wire::GossipT newMessage() const;
     /// A ping of the member that is being probed.
     wire::GossipT newPing() const;
-    void attachRumours(wire::GossipT &message);
+    void attachRumours(wire::GossipT &message, bool withObjects = true);
     std::vector<std::string> peers(bool sameDataCentre) const;
     std::vector<std::string> randomPeers(std::vector<std::string> pool, std::size_t count);
     std::uint64_t membersDigest() const;
@@ -134,6 +141,7 @@
     std::vector<MemberChange> m_memberChanges;
     std::vector<StoredObject> m_objectChanges;
     bool m_synced = false;
+    bool m_pushObjects = false; ///< to all of the data centre, with the next rumours
 };
 
 } // namespace mustardpond
--- a/packages/membership/src/member.cpp
+++ b/packages/membership/src/member.cpp
@@ -27,12 +27,15 @@
     record.dataCentre = member.dataCentre;
     record.inner = member.inner;
     record.caller = member.caller;
+    record.seesPlatform = member.seesPlatform;
     for (const UpstreamInfo &upstream : member.upstreams) {
         auto entry = std::make_unique<wire::UpstreamRecordT>();
         entry->id = upstream.id;
         entry->service = upstream.service;
         entry->state = upstream.state;
         entry->slots = upstream.slots;
+        entry->born = upstream.born;
+        entry->sequence = upstream.sequence;
         record.upstreams.push_back(std::move(entry));
     }
     return record;
@@ -49,9 +52,11 @@
     member.dataCentre = record.dataCentre;
     member.inner = record.inner;
     member.caller = record.caller;
+    member.seesPlatform = record.seesPlatform;
     for (const auto &entry : record.upstreams) {
         if (entry) {
-            member.upstreams.push_back({entry->id, entry->service, entry->state, entry->slots});
+            member.upstreams.push_back(
+                {entry->id, entry->service, entry->state, entry->slots, entry->born, entry->sequence});
         }
     }
     return member;
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -1,6 +1,5 @@
 #include "membership/membership.h"
 
-#include <fmt/format.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -15,11 +14,13 @@
 constexpr std::size_t SEEDS_ASKED = 3;
 constexpr int SENDINGS = 8; ///< of a rumour by each member; comparisons mend what they miss
 constexpr std::size_t OBJECTS_PER_MESSAGE = 500;
+constexpr int OBJECT_SENDINGS = 3; ///< objects are large, and come from the platform's watchers besides
+constexpr std::size_t PUSHED_TO = 64; ///< members of the data centre that a new object is sent to at once
 constexpr std::size_t REMOTE_EVERY = 4; ///< one probe or rumour message in so many goes to another data centre
 
 std::string keyOf(const Incarnation &incarnation)
 {
-    return fmt::format("{:016x}{:016x}", incarnation.high, incarnation.low);
+    return toString(incarnation);
 }
 
 } // namespace
@@ -45,12 +46,30 @@
     raiseSelf();
 }
 
+void Membership::setSeesPlatform(bool sees)
+{
+    if (m_self.seesPlatform != sees) {
+        m_self.seesPlatform = sees;
+        raiseSelf();
+    }
+}
+
 void Membership::leave()
 {
     m_self.state = MemberState::Left;
     raiseSelf();
 }
 
+bool Membership::takeObject(const StoredObject &object)
+{
+    if (!applyObject(object)) {
+        return false;
+    }
+    m_pushObjects = true;
+    m_nextRumour = Millis();
+    return true;
+}
+
 bool Membership::applyObject(const StoredObject &object)
 {
     if (!m_objects.apply(object)) {
@@ -85,6 +104,23 @@
     return out;
 }
 
+Millis Membership::nextDue() const
+{
+    Millis due = std::min(m_nextProbe, m_nextCompare);
+    if (!m_memberRumours.empty() || !m_objectRumours.empty()) {
+        due = std::min(due, m_nextRumour);
+    }
+    if (m_probe) {
+        due = std::min(due, m_probe->sentAt + (m_probe->indirect ? m_times.indirectTimeout : m_times.probeTimeout));
+    }
+    for (const auto &[key, known] : m_known) {
+        if (known.member.state == MemberState::Suspect) {
+            due = std::min(due, known.since + m_times.suspicion);
+        }
+    }
+    return due;
+}
+
 std::vector<OutgoingGossip> Membership::receive(const wire::GossipT &message, Millis now)
 {
     std::vector<OutgoingGossip> out;
@@ -305,14 +341,17 @@
     if (m_memberRumours.empty() && m_objectRumours.empty()) {
         return;
     }
-    auto targets = randomPeers(peers(true), RUMOUR_FANOUT);
+    const std::size_t fanout = m_pushObjects ? PUSHED_TO : RUMOUR_FANOUT;
+    m_pushObjects = false;
+    auto targets = randomPeers(peers(true), fanout);
     if (targets.size() < RUMOUR_FANOUT || m_random.below(REMOTE_EVERY) == 0) {
         const auto remote = randomPeers(peers(false), 1);
         targets.insert(targets.end(), remote.begin(), remote.end());
     }
     for (const std::string &key : targets) {
+        const bool local = m_known[key].member.dataCentre == m_self.dataCentre;
         wire::GossipT message = newMessage();
-        attachRumours(message);
+        attachRumours(message, local);
         if (!message.members.empty() || !message.objects.empty()) {
             out.push_back({m_known[key].member.inner, std::move(message)});
         }
@@ -434,7 +473,7 @@
     return message;
 }
 
-void Membership::attachRumours(wire::GossipT &message)
+void Membership::attachRumours(wire::GossipT &message, bool withObjects)
 {
     for (const std::string &key : m_memberRumours.take(RUMOURS_PER_MESSAGE, SENDINGS)) {
         const auto found = m_known.find(key);
@@ -442,7 +481,10 @@
             message.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(found->second.member)));
         }
     }
-    for (const std::string &key : m_objectRumours.take(RUMOURS_PER_MESSAGE, SENDINGS)) {
+    if (!withObjects) {
+        return;
+    }
+    for (const std::string &key : m_objectRumours.take(RUMOURS_PER_MESSAGE, OBJECT_SENDINGS)) {
         if (const StoredObject *object = m_objects.byKey(key)) {
             message.objects.push_back(std::make_unique<wire::ObjectRecordT>(toRecord(*object)));
         }
--- a/packages/net/include/net/httpstore.h
+++ b/packages/net/include/net/httpstore.h
@@ -7,6 +7,9 @@
 
 namespace mustardpond {
 
+/// Until a call of the platform is given up.
+constexpr Millis STORE_TIMEOUT{2000};
+
 /// Each call uses a connection of its own and blocks the calling thread.
 class HttpStore : public ObjectStore
 {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -74,8 +74,10 @@
     startProcess "links-$control" "$BUILD/packages/testing/stand-in-links" --control "$control" "${arguments[@]}"
 }
 
-startDaemon() { # R H
-    startProcess "daemon-$1.$2" "$BUILD/packages/daemon/mustardpond" --settings "$OUT/node-$1.$2.json"
+startDaemon() { # R H; its log goes to standard output
+    "$BUILD/packages/daemon/mustardpond" --settings "$OUT/node-$1.$2.json" >"$OUT/daemon-$1.$2.log" 2>&1 &
+    PIDS+=($!)
+    LAST_PID=$!
 }
 
 startUpstream() { # service R H port slots
