--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -17,6 +17,7 @@
 
 constexpr Millis CHANNEL_TIMEOUT{30000};
 constexpr Millis CONNECT_TIMEOUT{1000};
+constexpr Millis NEAR_CONNECT_TIMEOUT{300}; ///< the upstream is on this host
 constexpr Millis ANSWER_GRACE{60000}; ///< for the answer of an irreversible run after its deadline
 constexpr double SILENCE_SHARE = 0.9; ///< of the service time that counts as bad; then a reused connection is doubted
 constexpr double SILENCE_FACTOR = 6; ///< usual service times without an answer; then a reused connection is doubted
@@ -201,6 +202,7 @@
     }
     if (!m_exchange) {
         m_gate.client.drop(address);
+        noteUnreachable();
         if (isOperation()) {
             m_gate.ledger.release(*m_operation);
             m_gate.waits.ended(*m_operation);
@@ -235,6 +237,13 @@
     recordFailure(address, failure, yield);
 }
 
+void GateRun::noteUnreachable()
+{
+    const std::uint64_t number = ++m_gate.nextRun;
+    m_gate.trustOf(m_servedBy).onStart(number, m_request.workClass, m_startedAt);
+    noteTrust(number, AttemptResult::Failed, true);
+}
+
 void GateRun::noteTrust(std::uint64_t number, AttemptResult result, bool broken)
 {
     UpstreamTrust &trust = m_gate.trustOf(m_servedBy);
@@ -264,7 +273,8 @@
 
 std::unique_ptr<UpstreamExchange> GateRun::openUpstream(LocalUpstream &upstream, bool fresh, const Yield &yield)
 {
-    const Millis timeout(std::min(CONNECT_TIMEOUT.value, std::max(1.0, remaining().value)));
+    const Millis limit = m_gate.statistical ? CONNECT_TIMEOUT : NEAR_CONNECT_TIMEOUT;
+    const Millis timeout(std::min(limit.value, std::max(1.0, remaining().value)));
     return m_gate.client.open(upstream.announced.address, fresh, timeout, yield);
 }
 
--- a/packages/daemon/src/gate/gaterun.h
+++ b/packages/daemon/src/gate/gaterun.h
@@ -44,6 +44,7 @@
     AnswerVerdict receiveOwnHead(UpstreamExchange &exchange, const Yield &yield);
     void answerDisowned(UpstreamExchange &exchange, const AnswerVerdict &verdict, const Yield &yield);
     void relayAnswer(UpstreamExchange &exchange, wire::AnswerT answer, std::string body, const Yield &yield);
+    void noteUnreachable();
     void noteTrust(std::uint64_t number, AttemptResult result, bool broken);
     void loseOperation();
     void recordFailure(const Endpoint &address, const std::string &cause, const Yield &yield);
--- a/packages/daemon/src/gate/turnrequest.cpp
+++ b/packages/daemon/src/gate/turnrequest.cpp
@@ -74,7 +74,8 @@
 Turn TurnRequest::takeTurn(const std::shared_ptr<SlotQueue> &queue, const Yield &yield)
 {
     const Millis remaining(std::max(1.0, (m_deadline - m_gate.clock.now()).value));
-    const TurnOrder order{m_reserve.rank, m_deadline};
+    // By arrival within a rank: under overload, the earliest deadline first would run what is about to be given up.
+    const TurnOrder order{m_reserve.rank, m_gate.statistical ? m_deadline : m_gate.clock.now()};
     if (queue->running() < queue->slots() && queue->waiting() == 0) {
         return m_gate.turns.take(queue, order, remaining, yield);
     }
--- a/packages/daemon/src/httprules.cpp
+++ b/packages/daemon/src/httprules.cpp
@@ -6,6 +6,7 @@
 
 constexpr unsigned SERVER_ERROR = 500;
 constexpr unsigned SERVICE_UNAVAILABLE = 503;
+constexpr unsigned GATEWAY_TIMEOUT = 504; ///< the deadline passed, which a long wait before the run may explain
 
 } // namespace
 
@@ -29,7 +30,7 @@
 
 AttemptResult resultOfStatus(unsigned status)
 {
-    if (status == SERVICE_UNAVAILABLE) {
+    if (status == SERVICE_UNAVAILABLE || status == GATEWAY_TIMEOUT) {
         return AttemptResult::Unjudged;
     }
     return isServerError(status) ? AttemptResult::Failed : AttemptResult::Answered;
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -27,13 +27,37 @@
 constexpr int WAITING_ROUND = 1; ///< from this round on, requests may wait at a gate
 constexpr int MUST_SERVE_ROUND = 2; ///< from this round on, doubtful upstreams have to serve
 constexpr int LAST_PROMPT_ROUND = 5; ///< after this round, a request is refused rather than held
+constexpr int MOST_REMOTE_ASKS = 2; ///< of gates in other regions, before waiting at one
+constexpr std::size_t LARGE_BODY_BYTES = 16 * KIB;
+constexpr double TYPICAL_MARGIN = 1.2; ///< usual run times that a request needs after its wait
+constexpr Millis LEAST_WAITING{300};
 constexpr Millis LEAST_RETRY_AFTER{200};
 constexpr Millis PATH_PATIENCE{150}; ///< for the first word of a gate, beyond the usual round trip
 constexpr Millis REGION_ROUND_TRIP{30}; ///< to another region and back, with room for jitter
-constexpr double ABANDON_FACTOR = 4; ///< usual service times after which an idempotent attempt is moved
+constexpr double ABANDON_FACTOR = 3; ///< usual service times after which an idempotent attempt is moved
 constexpr Millis LEAST_ABANDON{350};
 constexpr int INNER_RANK = 0; ///< calls of running requests go first
 
+/// Names the channel of an exchange while it lasts, so that it can be closed from outside.
+class CurrentChannel
+{
+public:
+    CurrentChannel(FrameChannel *&slot, FrameChannel &channel)
+        : m_slot(slot)
+    {
+        m_slot = &channel;
+    }
+    ~CurrentChannel()
+    {
+        m_slot = nullptr;
+    }
+    CurrentChannel(const CurrentChannel &) = delete;
+    CurrentChannel &operator=(const CurrentChannel &) = delete;
+
+private:
+    FrameChannel *&m_slot;
+};
+
 /// How long a gate may take for its first word.
 Millis pathPatience(const UpstreamRef &ref)
 {
@@ -69,9 +93,7 @@
 {
     m_shared.table.retryBudget(m_request.service).onFirstTry();
     while (remaining() > Millis() && !m_left) {
-        const UpstreamRef *chosen =
-            m_shared.table.choose(m_request.service, m_request.workClass, m_tried, m_shared.clock.now(),
-                                  m_round >= MUST_SERVE_ROUND);
+        const UpstreamRef *chosen = chooseUpstream();
         if (!chosen) {
             if (endRound(yield)) {
                 return;
@@ -91,6 +113,23 @@
     settleNotRun(NotRunReason::Deadline, "no upstream could take the request before the deadline");
 }
 
+const UpstreamRef *Dispatch::chooseUpstream()
+{
+    const Millis now = m_shared.clock.now();
+    if (!m_shared.table.placesByGates()) {
+        return m_shared.table.choose(m_request.service, m_request.workClass, m_tried, now);
+    }
+    PlacementNeeds needs;
+    needs.mayWait = m_round >= WAITING_ROUND;
+    needs.anyTrust = mustServe();
+    needs.mayLeaveRegion = m_remoteAsks < (needs.mayWait ? MOST_REMOTE_ASKS + 1 : MOST_REMOTE_ASKS);
+    needs.large = m_request.source || m_request.body.size() >= LARGE_BODY_BYTES;
+    const UpstreamRef *chosen =
+        m_shared.table.place(m_request.service, m_request.workClass, m_tried, needs, now);
+    m_remoteAsks += chosen && chosen->distance == Distance::OtherRegion ? 1 : 0;
+    return chosen;
+}
+
 bool Dispatch::endRound(const Yield &yield)
 {
     m_result.held = true;
@@ -111,11 +150,30 @@
 bool Dispatch::isHopeless() const
 {
     if (m_round < WAITING_ROUND) {
-        return m_leastWait > remaining() - m_shared.table.typicalTime(m_request.service, m_request.workClass.name);
+        return m_leastWait > waitingTime();
     }
     return m_round >= LAST_PROMPT_ROUND;
 }
 
+Millis Dispatch::waitingTime() const
+{
+    const Millis typical = m_shared.table.typicalTime(m_request.service, m_request.workClass.name);
+    const Millis latest = remaining() - typical * TYPICAL_MARGIN;
+    if (!m_shared.table.placesByGates()) {
+        return remaining();
+    }
+    // While more comes in than the slots can run, a longer queue serves no more requests, only all of them late.
+    const Millis target = m_request.workClass.latencyTarget - typical;
+    return std::max(Millis(), std::min(latest, std::max(target, LEAST_WAITING)));
+}
+
+bool Dispatch::mustServe() const
+{
+    // Not while an upstream that its gate trusts is merely full.
+    const bool irreversible = m_request.workClass.kind == WorkKind::Irreversible;
+    return m_round >= MUST_SERVE_ROUND && !m_sawBusy && !(irreversible && m_shared.refusal == RefusalPolicy::Prompt);
+}
+
 void Dispatch::refuse(const std::string &detail)
 {
     m_result.retryAfter = std::max(LEAST_RETRY_AFTER, m_leastWait);
@@ -334,9 +392,8 @@
                                    : m_shared.pool.take(ref.gate, timeout, yield);
         }
         if (!judged || attempt.reserved) {
-            m_current = channel.get();
+            const CurrentChannel current(m_current, *channel);
             exchange(ref, *channel, attempt, yield);
-            m_current = nullptr;
         }
         if (attempt.answer.streamed) {
             m_result.channel = std::move(channel);
@@ -352,7 +409,6 @@
         attempt.cause = error.what();
         m_shared.pool.drop(ref.gate);
     }
-    m_current = nullptr;
     if (judged && !m_left) {
         noteFinish(ref, start, attempt, startedAt);
     }
@@ -383,7 +439,7 @@
 
 bool Dispatch::reserveTurn(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield)
 {
-    m_current = &channel;
+    const CurrentChannel current(m_current, channel);
     const std::uint64_t number = attempt.answer.request;
     channel.send(packMessage(reservation(ref, number)), SEND_TIMEOUT, yield);
     Millis patience = pathPatience(ref);
@@ -395,7 +451,6 @@
             }
             noteDenial(*denial);
             attempt.answer = std::move(*denial);
-            m_current = nullptr;
             return false;
         }
         const auto *turn = frame.body.AsTurn();
@@ -403,7 +458,6 @@
             rejectFrame(frame);
         }
         if (turn->state == wire::TurnState::Granted) {
-            m_current = nullptr;
             return true;
         }
         patience = Millis(std::max(1.0, remaining().value));
@@ -412,7 +466,8 @@
 
 void Dispatch::noteDenial(const wire::AnswerT &denial)
 {
-    if (denial.reason == wire::NotRunReason::Busy || denial.reason == wire::NotRunReason::Suspect) {
+    m_sawBusy = m_sawBusy || denial.reason == wire::NotRunReason::Busy;
+    if (denial.reason == wire::NotRunReason::Busy) {
         const Millis wait(denial.waitMs);
         m_leastWait = m_leastWait < Millis() ? wait : std::min(m_leastWait, wait);
     }
@@ -427,7 +482,7 @@
     reserve.workClass = m_request.workClass.name;
     reserve.kind = static_cast<wire::WorkKind>(m_request.workClass.kind);
     reserve.rank = static_cast<std::uint8_t>(m_request.inner ? INNER_RANK : m_request.workClass.priority + 1);
-    reserve.deadlineMs = std::max(0.0, remaining().value);
+    reserve.deadlineMs = std::max(0.0, waitingTime().value);
     reserve.fingerprint = m_request.fingerprint;
     const Millis now = m_shared.clock.now();
     const Normality normality = m_shared.table.normality(m_request.service, ref.id, m_request.workClass, now);
@@ -438,8 +493,7 @@
     reserve.mayTry = m_request.workClass.kind == WorkKind::Idempotent && !m_request.source && !m_maybeRan
         && (most == 0 || static_cast<int>(m_sentTo.size()) + 1 < most)
         && m_shared.table.retryBudget(m_request.service).hasRetry();
-    reserve.mustServe = m_round >= MUST_SERVE_ROUND
-        || m_shared.table.mustServe(m_request.service, ref.id, m_request.workClass.name);
+    reserve.mustServe = mustServe() || m_shared.table.mustServe(m_request.service, ref.id, m_request.workClass.name);
     return reserve;
 }
 
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -94,9 +94,14 @@
     };
 
     void runFreely(const Yield &yield);
+    const UpstreamRef *chooseUpstream();
     /// Starts the next round when all upstreams have been asked. True when the request is settled instead.
     bool endRound(const Yield &yield);
     bool isHopeless() const;
+    /// How long the request may wait for a slot.
+    Millis waitingTime() const;
+    /// Whether upstreams that their gates do not trust have to take the request.
+    bool mustServe() const;
     void refuse(const std::string &detail);
     bool reserveTurn(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield);
     std::unique_ptr<FrameChannel> openReserved(const UpstreamRef &ref, Attempt &attempt, const Yield &yield);
@@ -132,6 +137,8 @@
     std::set<std::string> m_tried; ///< in this round
     std::set<std::string> m_sentTo; ///< the request itself was sent there
     int m_round = 0;
+    int m_remoteAsks = 0;
+    bool m_sawBusy = false; ///< a gate would take the request, but for its slots
     Millis m_leastWait{-1}; ///< as the gates of this round estimate it; negative when none has said
     bool m_left = false;
     FrameChannel *m_current = nullptr; ///< where an exchange is going on
--- a/packages/daemon/src/router/routingtable.cpp
+++ b/packages/daemon/src/router/routingtable.cpp
@@ -14,7 +14,7 @@
 constexpr double TIME_MEMORY = 0.1; ///< weight of the newest sample
 constexpr Millis DEFAULT_SERVICE_TIME{5};
 constexpr Millis REPORT_LIFETIME{500};
-constexpr double LEAST_WEIGHT = 0.01;
+constexpr Millis TYPICAL_LIFETIME{3000}; ///< after which a slow upstream is tried again
 constexpr double SHARE_MARGIN = 0.75; ///< of the fleet's share; the rest is for calls that repeated runs make
 constexpr double EXTRA_MARGIN = 0.8; ///< for routers that are not known
 
@@ -106,7 +106,7 @@
 }
 
 const UpstreamRef *RoutingTable::choose(const std::string &service, const WorkClass &workClass,
-                                        const std::set<std::string> &excluded, Millis now, bool anyWeight)
+                                        const std::set<std::string> &excluded, Millis now)
 {
     const auto found = m_view->upstreams.find(service);
     if (found == m_view->upstreams.end()) {
@@ -118,14 +118,45 @@
     for (const UpstreamRef &ref : found->second) {
         candidates.push_back(candidateFor(state, ref, workClass, now));
         candidates.back().excluded = excluded.count(ref.id) > 0;
-        if (anyWeight) {
-            candidates.back().weight = std::max(candidates.back().weight, LEAST_WEIGHT);
-        }
     }
     const auto chosen = chooseUpstream(candidates, workClass.latencyTarget, m_random);
     return chosen ? &found->second[*chosen] : nullptr;
 }
 
+const UpstreamRef *RoutingTable::place(const std::string &service, const WorkClass &workClass,
+                                       const std::set<std::string> &excluded, PlacementNeeds needs, Millis now)
+{
+    const auto found = m_view->upstreams.find(service);
+    if (found == m_view->upstreams.end()) {
+        return nullptr;
+    }
+    ServiceState &state = stateOf(service);
+    needs.typical = state.typicalTimes[workClass.name];
+    std::vector<PlacementCandidate> candidates;
+    candidates.reserve(found->second.size());
+    for (const UpstreamRef &ref : found->second) {
+        candidates.push_back(placementOf(state, ref, workClass, now));
+        candidates.back().excluded = excluded.count(ref.id) > 0;
+    }
+    const auto chosen = placeRequest(candidates, needs, m_random);
+    return chosen ? &found->second[*chosen] : nullptr;
+}
+
+PlacementCandidate RoutingTable::placementOf(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass,
+                                             Millis now)
+{
+    const UpstreamState &upstream = state.upstreams[ref.id];
+    PlacementCandidate candidate;
+    candidate.distance = ref.distance;
+    candidate.slots = ref.slots;
+    const bool recent = now - upstream.reportedAt < REPORT_LIFETIME;
+    const double reported = upstream.reported + upstream.running - upstream.runningAtReport;
+    candidate.load = recent ? std::max(upstream.running, reported) : upstream.running;
+    candidate.typical = now - upstream.reportedAt < TYPICAL_LIFETIME ? upstream.typical : Millis();
+    candidate.avoided = state.detector->weight(ref.id, workClass.name, now) <= 0;
+    return candidate;
+}
+
 Candidate RoutingTable::candidateFor(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass,
                                      Millis now)
 {
@@ -176,6 +207,7 @@
     state.reported = load.requests;
     state.runningAtReport = state.running;
     state.reportedAt = load.at;
+    state.typical = load.typical;
 }
 
 void RoutingTable::onGateSuspects(const std::string &service, const std::string &upstream, const std::string &workClass,
--- a/packages/daemon/src/router/routingtable.h
+++ b/packages/daemon/src/router/routingtable.h
@@ -4,6 +4,7 @@
 #include "config/daemonsettings.h"
 #include "decision/balancer.h"
 #include "decision/detector.h"
+#include "decision/placement.h"
 #include "decision/retrybudget.h"
 #include "decision/sequentialdetector.h"
 #include "fleetview.h"
@@ -46,9 +47,15 @@
     }
 
     /// Chooses an upstream; null when none can take the request.
-    /// @param anyWeight whether upstreams that are otherwise avoided may be chosen
     const UpstreamRef *choose(const std::string &service, const WorkClass &workClass,
-                              const std::set<std::string> &excluded, Millis now, bool anyWeight = false);
+                              const std::set<std::string> &excluded, Millis now);
+    /// The same where gates judge their upstreams. The needs' usual time is filled in.
+    const UpstreamRef *place(const std::string &service, const WorkClass &workClass,
+                             const std::set<std::string> &excluded, PlacementNeeds needs, Millis now);
+    bool placesByGates() const
+    {
+        return m_detection == Detection::Gates;
+    }
 
     void onStart(const std::string &service, const AttemptStart &start, Millis now);
     /// @param network time of the attempt outside the gate
@@ -81,6 +88,7 @@
         double reported = 0;
         double runningAtReport = 0;
         Millis reportedAt{-1e12};
+        Millis typical; ///< of all classes there, as reported
         Millis network{0};
         std::map<std::string, Millis> serviceTimes; ///< by class
     };
@@ -94,6 +102,7 @@
     ServiceState &stateOf(const std::string &service);
     void updateService(const std::string &name, const std::vector<UpstreamRef> &upstreams);
     Candidate candidateFor(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass, Millis now);
+    PlacementCandidate placementOf(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass, Millis now);
     void logChange(const std::string &service, const HealthChange &change) const;
 
     Detection m_detection;
--- a/packages/decision/include/decision/upstreamtrust.h
+++ b/packages/decision/include/decision/upstreamtrust.h
@@ -6,6 +6,7 @@
 #include "foundation/enumtable.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -49,9 +50,16 @@
         Millis startedAt;
     };
 
+    struct Answer {
+        Millis at;
+        bool error;
+    };
+
     void onSuccess(const Running &run, Millis now);
     void onFailure(bool broken, Millis now);
     bool hangs(Millis now) const;
+    void noteAnswer(bool error, Millis now);
+    bool isMostlyErrors() const;
     Millis trialPause() const;
     /// Whether a request that was started after the last failure is running.
     bool isTried() const;
@@ -60,8 +68,8 @@
     std::map<std::string, Millis> m_typicalOf;
     Millis m_typical;
     Millis m_lastFailure{-1e12};
-    Millis m_lastError{-1e12};
     Millis m_lastSuccess{-1e12};
+    std::deque<Answer> m_answers; ///< the newest
     bool m_doubted = false; ///< since the last failure, until enough has succeeded
     int m_failuresInRow = 0; ///< since the last success
     int m_successesInRow = 0; ///< of requests started since the last failure
--- a/packages/decision/src/pathdetector.cpp
+++ b/packages/decision/src/pathdetector.cpp
@@ -9,7 +9,7 @@
 
 constexpr Millis FIRST_AVOIDANCE{400};
 constexpr Millis LONGEST_AVOIDANCE{3200};
-constexpr Millis SUSPECT_AVOIDANCE{250}; ///< until a gate is asked again that does not trust its upstream
+constexpr Millis SUSPECT_AVOIDANCE{500}; ///< until a gate is asked again that does not trust its upstream
 
 Millis avoidanceAfter(int failures)
 {
--- a/packages/decision/src/upstreamtrust.cpp
+++ b/packages/decision/src/upstreamtrust.cpp
@@ -9,7 +9,9 @@
 constexpr Millis TRIAL_PAUSE{400}; ///< after the second failure in a row; grows with each further one
 constexpr Millis LONGEST_TRIAL_PAUSE{1600};
 constexpr Millis UNTRIED_LIMIT{5000}; ///< without any trial, doubts end after this time
-constexpr Millis ERROR_PAIR{2500}; ///< two error answers within this time count as one broken connection
+constexpr Millis ERROR_WINDOW{4000};
+constexpr std::size_t LEAST_ERRORS = 3; ///< error answers within the window that count as one broken connection
+constexpr double ERROR_SHARE = 0.4; ///< which they must be, at least, of all answers within the window
 constexpr int RECOVERED_AFTER = 2; ///< successes in a row; one may be luck while most requests fail
 constexpr double HANG_FACTOR = 5; ///< a run that takes so many usual service times may hang
 constexpr Millis LEAST_HANG{400};
@@ -38,9 +40,11 @@
     m_running.erase(found);
     switch (result) {
     case AttemptResult::Answered:
+        noteAnswer(false, now);
         return onSuccess(finished, now);
     case AttemptResult::Failed:
     case AttemptResult::TimedOut:
+        noteAnswer(true, now);
         return onFailure(broken || result == AttemptResult::TimedOut, now);
     case AttemptResult::PathFailed:
     case AttemptResult::Unjudged:
@@ -66,11 +70,7 @@
 
 void UpstreamTrust::onFailure(bool broken, Millis now)
 {
-    const bool alone = !broken && now - m_lastError >= ERROR_PAIR;
-    if (!broken) {
-        m_lastError = now;
-    }
-    if (alone) {
+    if (!broken && !isMostlyErrors()) {
         return; // mostly the request's own error
     }
     m_lastFailure = now;
@@ -89,6 +89,22 @@
     return hangs(now) ? Trust::Doubtful : Trust::Trusted;
 }
 
+void UpstreamTrust::noteAnswer(bool error, Millis now)
+{
+    m_answers.push_back({now, error});
+    while (now - m_answers.front().at > ERROR_WINDOW) {
+        m_answers.pop_front();
+    }
+}
+
+bool UpstreamTrust::isMostlyErrors() const
+{
+    const auto errors = static_cast<std::size_t>(
+        std::count_if(m_answers.begin(), m_answers.end(), [](const Answer &answer) { return answer.error; }));
+    const auto answers = static_cast<double>(m_answers.size());
+    return errors >= LEAST_ERRORS && static_cast<double>(errors) >= answers * ERROR_SHARE;
+}
+
 Millis UpstreamTrust::trialPause() const
 {
     const int further = m_failuresInRow - FAILING_STREAK + 1;
--- /dev/null
+++ b/packages/decision/test/placement_test.cpp
@@ -0,0 +1,99 @@
+#include "decision/placement.h"
+
+#include <gtest/gtest.h>
+
+namespace mustardpond {
+
+namespace {
+
+class PlacementTest : public ::testing::Test
+{
+protected:
+    PlacementTest()
+    {
+        m_needs.typical = Millis(400);
+        m_candidates = {at(Distance::SameDataCentre), at(Distance::SameDataCentre), at(Distance::SameRegion),
+                        at(Distance::OtherRegion)};
+    }
+    static PlacementCandidate at(Distance distance)
+    {
+        PlacementCandidate candidate;
+        candidate.distance = distance;
+        candidate.slots = 5;
+        return candidate;
+    }
+    std::optional<std::size_t> place()
+    {
+        return placeRequest(m_candidates, m_needs, m_random);
+    }
+
+    SeededRandom m_random{3};
+    PlacementNeeds m_needs;
+    std::vector<PlacementCandidate> m_candidates;
+};
+
+TEST_F(PlacementTest, StaysInTheDataCentre)
+{
+    for (int i = 0; i < 50; ++i) {
+        EXPECT_LT(*place(), 2U);
+    }
+}
+
+TEST_F(PlacementTest, LeavesTheDataCentreForAFreeSlot)
+{
+    m_candidates[0].load = 5;
+    m_candidates[1].load = 6;
+    EXPECT_EQ(place(), 2U);
+    m_candidates[2].load = 5;
+    EXPECT_EQ(place(), 3U);
+    m_candidates[3].load = 5;
+    EXPECT_EQ(place(), std::nullopt);
+}
+
+TEST_F(PlacementTest, WaitsWhereTheWaitIsShortest)
+{
+    m_needs.mayWait = true;
+    m_candidates[0].load = 15;
+    m_candidates[1].load = 6;
+    m_candidates[2].load = 15;
+    m_candidates[3].load = 15;
+    EXPECT_EQ(place(), 1U);
+}
+
+TEST_F(PlacementTest, LeavesAnUpstreamThatHasBecomeSlow)
+{
+    m_candidates[0].typical = Millis(4000);
+    m_candidates[1].typical = Millis(4000);
+    EXPECT_EQ(place(), 2U);
+}
+
+TEST_F(PlacementTest, KeepsLargeBodiesNear)
+{
+    m_needs.large = true;
+    m_needs.mayWait = true;
+    m_candidates[0].load = 7;
+    m_candidates[1].load = 7;
+    m_candidates[2].load = 7;
+    EXPECT_LT(*place(), 2U);
+}
+
+TEST_F(PlacementTest, AsksAvoidedUpstreamsOnlyWhenItMust)
+{
+    for (auto &candidate : m_candidates) {
+        candidate.avoided = true;
+    }
+    EXPECT_EQ(place(), std::nullopt);
+    m_needs.anyTrust = true;
+    EXPECT_LT(*place(), 2U);
+}
+
+TEST_F(PlacementTest, KeepsToTheRegionWhenTold)
+{
+    m_needs.mayLeaveRegion = false;
+    m_candidates.erase(m_candidates.begin(), m_candidates.begin() + 3);
+    EXPECT_EQ(place(), std::nullopt);
+}
+
+} // namespace
+
+} // namespace mustardpond
