--- a/packages/daemon/main/main.cpp
+++ b/packages/daemon/main/main.cpp
@@ -11,6 +11,7 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include <cstdlib>
 #include <iostream>
 
 namespace {
@@ -54,7 +55,10 @@
     mustardpond::openLog(settings.logFormat, settings.node);
     mustardpond::Daemon daemon(settings, path, dialectsFor(settings));
     daemon.run();
-    return 0;
+    // The planned stop is over. Taking everything down would wait for the platform's answer to a watch, past the grace
+    // time, and would unwind the coroutines of connections whose owners are gone.
+    mustardpond::closeLog();
+    std::_Exit(0);
 }
 
 } // namespace
--- a/packages/daemon/src/control/storeactor.cpp
+++ b/packages/daemon/src/control/storeactor.cpp
@@ -49,8 +49,11 @@
             return SOON;
         } catch (const StoreOutage &error) {
             note(false, error.what());
-            return OUTAGE_PAUSE;
+        } catch (const std::exception &error) {
+            // What came is not what the platform's pages say; it says so again, or mends itself.
+            note(false, error.what());
         }
+        return OUTAGE_PAUSE;
     }
 
     void setWatches(bool watches)
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -19,6 +19,7 @@
 constexpr const char LOCAL[] = "local";
 constexpr Millis LEAVE_SPREAD{2500}; ///< for the leave to reach every router
 constexpr Millis STOP_CHECK{20};
+constexpr double GRACE_SHARE = 0.92; ///< of the grace time; the rest is for ending
 constexpr Millis SETTINGS_CHECK{1000};
 constexpr Millis REFUSAL_LIFETIME{600000};
 constexpr Millis HELD_PERIOD{10000};
@@ -175,9 +176,10 @@
     gate->leave();
     router->leave();
     const Millis startedAt = m_clock.now();
+    const Millis grace = m_settings.limits.stopGrace * GRACE_SHARE;
     const auto waitWhile = [&](const std::function<bool()> &condition) {
         asio::steady_timer timer(m_context);
-        while (condition() && m_clock.now() - startedAt < m_settings.limits.stopGrace) {
+        while (condition() && m_clock.now() - startedAt < grace) {
             timer.expires_after(toDuration(STOP_CHECK));
             ErrorCode ignored;
             timer.async_wait(yield[ignored]);
--- a/packages/daemon/src/gate/admission.cpp
+++ b/packages/daemon/src/gate/admission.cpp
@@ -46,10 +46,11 @@
     return std::nullopt;
 }
 
-Millis estimatedWait(const LocalUpstream &upstream, const UpstreamTrust &trust, int rank)
+Millis estimatedWait(const LocalUpstream &upstream, const UpstreamTrust &trust, const TurnOrder &order)
 {
     const auto slots = static_cast<double>(std::max<std::size_t>(1, upstream.queue->slots()));
-    const auto ahead = static_cast<double>(upstream.queue->running() + upstream.queue->waitingBefore(rank)) + 1 - slots;
+    const auto before = upstream.queue->running() + upstream.queue->waitingBefore(order.rank, order.deadline);
+    const auto ahead = static_cast<double>(before) + 1 - slots;
     return ahead > 0 ? trust.typical() * (ahead / slots) : Millis();
 }
 
--- a/packages/daemon/src/gate/admission.h
+++ b/packages/daemon/src/gate/admission.h
@@ -30,8 +30,8 @@
 /// Why the gate does not take the request now; nothing when it does.
 std::optional<Denial> denialOf(GateContext &gate, const AdmissionQuery &query, Millis now);
 
-/// Estimated time until a new request of the rank would get a slot of the upstream.
-Millis estimatedWait(const LocalUpstream &upstream, const UpstreamTrust &trust, int rank);
+/// Estimated time until a new request would get a slot of the upstream.
+Millis estimatedWait(const LocalUpstream &upstream, const UpstreamTrust &trust, const TurnOrder &order);
 
 /// The load of an upstream as routers are told it.
 wire::LoadT loadOf(GateContext &gate, const LocalUpstream &upstream);
--- a/packages/daemon/src/gate/turnrequest.cpp
+++ b/packages/daemon/src/gate/turnrequest.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Millis SEND_TIMEOUT{5000};
+constexpr Millis URGENCY_STEP{400}; ///< of waiting time that one step of priority is worth
 
 } // namespace
 
@@ -71,11 +72,21 @@
     return std::make_unique<SlotHold>(m_gate.turns, queue);
 }
 
+TurnOrder TurnRequest::turnOrder() const
+{
+    // Calls that a running request waits for go first. Among the others, whoever can wait least goes first, and a more
+    // urgent class counts as one that can wait less: so short requests are served while long ones wait, and no class
+    // starves. Routers ask for no longer wait than leaves time for the run.
+    if (m_reserve.rank == 0) {
+        return {0, m_deadline};
+    }
+    return {1, m_deadline + URGENCY_STEP * m_reserve.rank};
+}
+
 Turn TurnRequest::takeTurn(const std::shared_ptr<SlotQueue> &queue, const Yield &yield)
 {
     const Millis remaining(std::max(1.0, (m_deadline - m_gate.clock.now()).value));
-    // By arrival within a rank: under overload, the earliest deadline first would run what is about to be given up.
-    const TurnOrder order{m_reserve.rank, m_gate.statistical ? m_deadline : m_gate.clock.now()};
+    const TurnOrder order = turnOrder();
     if (queue->running() < queue->slots() && queue->waiting() == 0) {
         return m_gate.turns.take(queue, order, remaining, yield);
     }
@@ -115,7 +126,7 @@
     if (const LocalUpstream *upstream = findUpstream(m_gate, m_query)) {
         answer.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream));
         answer.waitMs =
-            estimatedWait(*upstream, m_gate.trustOf(upstream->announced.id), m_reserve.rank).value;
+            estimatedWait(*upstream, m_gate.trustOf(upstream->announced.id), turnOrder()).value;
     }
     m_channel.send(packMessage(std::move(answer)), SEND_TIMEOUT, yield);
 }
--- a/packages/daemon/src/gate/turnrequest.h
+++ b/packages/daemon/src/gate/turnrequest.h
@@ -25,6 +25,7 @@
 
 private:
     std::unique_ptr<SlotHold> waitForSlot(const LocalUpstream &upstream, const Yield &yield);
+    TurnOrder turnOrder() const;
     Turn takeTurn(const std::shared_ptr<SlotQueue> &queue, const Yield &yield);
     void sendTurn(wire::TurnState state, const Yield &yield);
     void deny(const Denial &denial, const Yield &yield);
--- a/packages/decision/include/decision/slotqueue.h
+++ b/packages/decision/include/decision/slotqueue.h
@@ -32,8 +32,8 @@
     /// Grants a free slot to the waiting ticket with the earliest deadline, if both exist.
     std::optional<std::uint64_t> grantNext();
 
-    /// Waiting requests that would go before a new one of the rank.
-    std::size_t waitingBefore(int rank) const;
+    /// Waiting requests that would go before a new one.
+    std::size_t waitingBefore(int rank, Millis deadline) const;
 
     std::size_t running() const
     {
--- a/packages/decision/src/slotqueue.cpp
+++ b/packages/decision/src/slotqueue.cpp
@@ -1,6 +1,8 @@
 #include "decision/slotqueue.h"
 
 #include <algorithm>
+#include <iterator>
+#include <limits>
 
 namespace mustardpond {
 
@@ -48,10 +50,10 @@
     return true;
 }
 
-std::size_t SlotQueue::waitingBefore(int rank) const
+std::size_t SlotQueue::waitingBefore(int rank, Millis deadline) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_waiting.begin(), m_waiting.end(), [rank](const Waiting &w) { return w.rank <= rank; }));
+    const Waiting last{rank, deadline, std::numeric_limits<std::uint64_t>::max()};
+    return static_cast<std::size_t>(std::distance(m_waiting.begin(), m_waiting.upper_bound(last)));
 }
 
 void SlotQueue::resize(std::size_t slots)
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -95,6 +95,9 @@
 /// Before, and in programs that do not call this, events go to spdlog's default logger.
 void openLog(LogFormat format, const std::string &node);
 
+/// Writes what is still queued.
+void closeLog();
+
 /// Logs an event with its fields, a JSON object. Warnings are events that an operator should look at.
 void logEvent(Event event, const nlohmann::json &fields);
 
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -77,6 +77,11 @@
     spdlog::set_default_logger(logger);
 }
 
+void closeLog()
+{
+    spdlog::shutdown();
+}
+
 void logEvent(Event event, const nlohmann::json &fields)
 {
     const auto level = isWarning(event) ? spdlog::level::warn : spdlog::level::info;
