Keep gossip off connections that may lead nowhere; judge no class by its first answers

Change: gossip leaves a connection that was idle for a second, and lets the kernel end one that is not acknowledged for 600 ms. Change: no move before half the target, none before the whole of it while times are unknown; the same for hanging runs at the gate.

--- a/packages/daemon/src/control/gossipsender.cpp
+++ b/packages/daemon/src/control/gossipsender.cpp
@@ -2,6 +2,8 @@
 
 #include "foundation/errors.h"
 
+#include <netinet/tcp.h>
+
 namespace mustardpond {
 
 namespace {
@@ -9,6 +11,13 @@
 constexpr Millis CONNECT_TIMEOUT{500};
 constexpr Millis SEND_TIMEOUT{500};
 constexpr std::size_t MAX_QUEUED = 64;
+constexpr unsigned UNHEARD_LIMIT_MS = 600; ///< without an acknowledgement of the kernel at the other end
+
+/// Lets the kernel end a connection whose other end has gone; what was sent is rumoured again.
+void endWhenUnheard(tcp::socket &socket)
+{
+    setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &UNHEARD_LIMIT_MS, sizeof(UNHEARD_LIMIT_MS));
+}
 
 } // namespace
 
@@ -34,6 +43,7 @@
 {
     try {
         auto channel = m_pool.take(address, CONNECT_TIMEOUT, yield);
+        endWhenUnheard(channel->socket());
         while (!m_queues[address].frames.empty()) {
             const std::string frame = std::move(m_queues[address].frames.front());
             m_queues[address].frames.pop_front();
--- a/packages/daemon/src/control/gossipsender.h
+++ b/packages/daemon/src/control/gossipsender.h
@@ -11,13 +11,16 @@
 
 namespace mustardpond {
 
+/// Nothing answers on these connections, so only their age tells that they may lead nowhere.
+constexpr Millis LONGEST_IDLE{1000};
+
 /// Used on the request path's thread. Messages to one address keep their order.
 class GossipSender : public std::enable_shared_from_this<GossipSender>
 {
 public:
     GossipSender(asio::io_context &context, std::string bindAddress)
         : m_context(context)
-        , m_pool(context, std::move(bindAddress))
+        , m_pool(context, std::move(bindAddress), LONGEST_IDLE)
     {
     }
 
--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -156,8 +156,8 @@
     response.set(http::field::content_type, "application/json");
     response.body() = "{}";
     try {
-        const auto announcement = m_dialect->read(
-            {std::string(request.method_string()), std::string(request.target()), request.body()});
+        const auto announcement =
+            m_dialect->read({std::string(request.method_string()), std::string(request.target()), request.body()});
         if (!announcement) {
             response.result(http::status::not_found);
             response.body() = R"({"error":"announcements go to another path"})";
--- a/packages/daemon/src/control/memberactor.h
+++ b/packages/daemon/src/control/memberactor.h
@@ -17,9 +17,8 @@
     std::function<void(const std::string &node, Incarnation incarnation)> removeRecord;
 };
 
-/// Behaviour of the actor. Takes GossipReceived, UpstreamsChanged, LeaveRequested, StoreChanged, StoreSeen, CrashSeen and
-/// TickDue,
-/// and the handle of the store actor, which it tells its duty to watch.
+/// Behaviour of the actor. Takes GossipReceived, UpstreamsChanged, LeaveRequested, StoreChanged, StoreSeen, CrashSeen
+/// and TickDue, and the handle of the store actor, which it tells its duty to watch.
 caf::behavior memberActor(caf::event_based_actor *self, const DaemonSettings &settings, Incarnation incarnation,
                           const MemberActorOutput &output);
 
--- a/packages/daemon/src/control/noderecord.cpp
+++ b/packages/daemon/src/control/noderecord.cpp
@@ -30,12 +30,9 @@
                             {"sequence", upstream.sequence}});
         }
     }
-    const nlohmann::json document = {{"inner", toString(settings.advertisedInner)},
-                                     {"local", toString(settings.local)},
-                                     {"dataCentre", settings.dataCentre},
-                                     {"region", settings.region},
-                                     {"incarnation", toString(incarnation)},
-                                     {"leaving", list}};
+    const nlohmann::json document = {{"inner", toString(settings.advertisedInner)}, {"local", toString(settings.local)},
+                                     {"dataCentre", settings.dataCentre},           {"region", settings.region},
+                                     {"incarnation", toString(incarnation)},        {"leaving", list}};
     return document.dump();
 }
 
--- a/packages/daemon/src/control/storeactor.cpp
+++ b/packages/daemon/src/control/storeactor.cpp
@@ -155,8 +155,8 @@
 
 caf::behavior storeActor(caf::event_based_actor *self, const StoreActorInput &input)
 {
-    auto driver =
-        std::make_shared<StoreDriver>(input.settings, input.incarnation, input.openStore(), input.members, input.recall);
+    auto driver = std::make_shared<StoreDriver>(input.settings, input.incarnation, input.openStore(), input.members,
+                                                input.recall);
     auto sleeps = std::make_shared<bool>(false);
     self->send(self, TickDue{});
     return {
--- a/packages/daemon/src/dialect/owndialect.cpp
+++ b/packages/daemon/src/dialect/owndialect.cpp
@@ -39,8 +39,9 @@
     terms.operation = textOf(head[OPERATION_FIELD]);
     terms.timeLeft = timeFrom(head[DEADLINE_FIELD]);
     if (!head[IDEMPOTENCY_FIELD].empty()) {
-        terms.problem = "Idempotency-Key is not supported: open an operation with POST /-/operations and send its id as "
-                        "Operation-Id";
+        terms.problem =
+            "Idempotency-Key is not supported: open an operation with POST /-/operations and send its id as "
+            "Operation-Id";
     }
     return terms;
 }
--- a/packages/daemon/src/gate/turnrequest.cpp
+++ b/packages/daemon/src/gate/turnrequest.cpp
@@ -125,8 +125,7 @@
     answer.digest = bodyDigest(answer.body);
     if (const LocalUpstream *upstream = findUpstream(m_gate, m_query)) {
         answer.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream));
-        answer.waitMs =
-            estimatedWait(*upstream, m_gate.trustOf(upstream->announced.id), turnOrder()).value;
+        answer.waitMs = estimatedWait(*upstream, m_gate.trustOf(upstream->announced.id), turnOrder()).value;
     }
     m_channel.send(packMessage(std::move(answer)), SEND_TIMEOUT, yield);
 }
--- a/packages/daemon/src/gate/upstreamregistry.cpp
+++ b/packages/daemon/src/gate/upstreamregistry.cpp
@@ -184,8 +184,7 @@
     std::vector<UpstreamInfo> list;
     for (const auto &[id, upstream] : m_upstreams) {
         const Announcement &announced = upstream.announced;
-        list.push_back(
-            {id, announced.service, announced.state, announced.slots, announced.born, announced.sequence});
+        list.push_back({id, announced.service, announced.state, announced.slots, announced.born, announced.sequence});
     }
     for (const auto &[id, info] : m_recalled) {
         if (m_upstreams.count(id) == 0 && leaves(info.state)) {
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -241,9 +241,9 @@
         return false;
     }
     const auto config = m_router.view().config;
-    const RoutedWork work = config->route({head.target().data(), head.target().size()},
-                                          {head.method_string().data(), head.method_string().size()},
-                                          hostOf(head[http::field::host]));
+    const RoutedWork work =
+        config->route({head.target().data(), head.target().size()},
+                      {head.method_string().data(), head.method_string().size()}, hostOf(head[http::field::host]));
     if (!work.service) {
         m_open = false;
         replyProblem(http::status::not_found, "no route for " + std::string(head.target()), yield);
@@ -342,9 +342,8 @@
 bool CallerSession::isConnectionField(const std::string &name) const
 {
     const http::token_list tokens(m_parser->get()[http::field::connection]);
-    return std::any_of(tokens.begin(), tokens.end(), [&name](beast::string_view token) {
-        return beast::iequals(token, name);
-    });
+    return std::any_of(tokens.begin(), tokens.end(),
+                       [&name](beast::string_view token) { return beast::iequals(token, name); });
 }
 
 bool CallerSession::isInner() const
@@ -367,8 +366,7 @@
         }
         char next = 0;
         ErrorCode state;
-        const auto peeked =
-            m_stream.socket().receive(asio::buffer(&next, 1), tcp::socket::message_peek, state);
+        const auto peeked = m_stream.socket().receive(asio::buffer(&next, 1), tcp::socket::message_peek, state);
         if (state || peeked == 0) {
             logEvent(Event::RequestLeft, {{"request", request.id}, {"service", request.service}});
             dispatch.leave();
@@ -410,16 +408,18 @@
     if (own.reason == NotRunReason::Quarantined) {
         own.retryAfter = QUARANTINE_RETRY;
     }
-    logOwn(request, own, startedAt);
+    logOwn(request, own, result.upstream, startedAt);
     replyOwn(m_router.dialect().statusOf(own), own, yield);
 }
 
-void CallerSession::logOwn(const CallerRequest &request, const RouterAnswer &answer, Millis startedAt)
+void CallerSession::logOwn(const CallerRequest &request, const RouterAnswer &answer, const std::string &upstream,
+                           Millis startedAt)
 {
     logEvent(answer.outcome == Outcome::NotRun ? Event::RequestRefused : Event::RequestFailed,
              {{"request", request.id},
               {"service", request.service},
               {"class", request.workClass.name},
+              {"upstream", upstream},
               {"reason", nameOf(NOT_RUN_REASON_NAMES, answer.reason)},
               {"detail", answer.detail},
               {"afterMs", (m_router.clock().now() - startedAt).value},
--- a/packages/daemon/src/router/callersession.h
+++ b/packages/daemon/src/router/callersession.h
@@ -48,7 +48,9 @@
     CallerBody bodyReader();
     void replyProblem(http::status status, const std::string &detail, const Yield &yield);
     void replyOwn(http::status status, const RouterAnswer &answer, const Yield &yield);
-    void logOwn(const CallerRequest &request, const RouterAnswer &answer, Millis startedAt);
+    /// @param upstream where the request was sent last; empty if nowhere
+    void logOwn(const CallerRequest &request, const RouterAnswer &answer, const std::string &upstream,
+                Millis startedAt);
     /// Tells the dispatch when the caller closes its connection.
     void watchCaller(const CallerRequest &request, Dispatch &dispatch);
     void stopWatching();
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -36,6 +36,7 @@
 constexpr Millis REGION_ROUND_TRIP{30}; ///< to another region and back, with room for jitter
 constexpr double ABANDON_FACTOR = 3; ///< usual service times after which an idempotent attempt is moved
 constexpr Millis LEAST_ABANDON{350};
+constexpr double ABANDON_TARGET_SHARE = 0.5; ///< of the latency target, before which no attempt is moved
 constexpr int INNER_RANK = 0; ///< calls of running requests go first
 
 /// Names the channel of an exchange while it lasts, so that it can be closed from outside.
@@ -124,8 +125,7 @@
     needs.anyTrust = mustServe();
     needs.mayLeaveRegion = m_remoteAsks < (needs.mayWait ? MOST_REMOTE_ASKS + 1 : MOST_REMOTE_ASKS);
     needs.large = m_request.source || m_request.body.size() >= LARGE_BODY_BYTES;
-    const UpstreamRef *chosen =
-        m_shared.table.place(m_request.service, m_request.workClass, m_tried, needs, now);
+    const UpstreamRef *chosen = m_shared.table.place(m_request.service, m_request.workClass, m_tried, needs, now);
     m_remoteAsks += chosen && chosen->distance == Distance::OtherRegion ? 1 : 0;
     return chosen;
 }
@@ -234,23 +234,24 @@
 
 void Dispatch::logMove(const Attempt &attempt, const UpstreamRef &ref) const
 {
-    logEvent(Event::RequestMoved,
-             {{"request", m_request.id},
-              {"upstream", ref.id},
-              {"node", ref.node},
-              {"round", m_round},
-              {"reason", attempt.failed ? attempt.cause
-                                        : std::string(nameOf(NOT_RUN_REASON_NAMES,
-                                                             static_cast<NotRunReason>(attempt.answer.reason)))},
-              {"waitMs", attempt.answer.waitMs},
-              {"sent", attempt.reached},
-              {"leftMs", remaining().value}});
+    logEvent(
+        Event::RequestMoved,
+        {{"request", m_request.id},
+         {"upstream", ref.id},
+         {"node", ref.node},
+         {"round", m_round},
+         {"reason",
+          attempt.failed ? attempt.cause
+                         : std::string(nameOf(NOT_RUN_REASON_NAMES, static_cast<NotRunReason>(attempt.answer.reason)))},
+         {"waitMs", attempt.answer.waitMs},
+         {"sent", attempt.reached},
+         {"leftMs", remaining().value}});
 }
 
 bool Dispatch::mayMoveOn()
 {
-    const bool more = m_request.workClass.maxAttempts == 0
-        || static_cast<int>(m_sentTo.size()) < m_request.workClass.maxAttempts;
+    const bool more =
+        m_request.workClass.maxAttempts == 0 || static_cast<int>(m_sentTo.size()) < m_request.workClass.maxAttempts;
     if (more && m_shared.table.retryBudget(m_request.service).takeRetry()) {
         return true;
     }
@@ -500,7 +501,10 @@
 Millis Dispatch::abandonAfter(const UpstreamRef &ref) const
 {
     const Millis typical = m_shared.table.typicalTime(m_request.service, m_request.workClass.name);
-    return Millis(std::max(LEAST_ABANDON.value, typical.value * ABANDON_FACTOR)) + pathPatience(ref);
+    const Millis target = m_request.workClass.latencyTarget;
+    // The first few answers of a class tell little of what is usual.
+    const Millis least = std::max(LEAST_ABANDON, target * (typical > Millis() ? ABANDON_TARGET_SHARE : 1));
+    return std::max(least, typical * ABANDON_FACTOR) + pathPatience(ref);
 }
 
 void Dispatch::exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield)
@@ -549,7 +553,8 @@
     const bool irreversible = m_request.workClass.kind == WorkKind::Irreversible;
     if (attempt.reserved) {
         const int most = m_request.workClass.maxAttempts;
-        return m_shared.movesSlow && !irreversible && !m_request.source && (most == 0 || static_cast<int>(m_sentTo.size()) < most);
+        return m_shared.movesSlow && !irreversible && !m_request.source
+            && (most == 0 || static_cast<int>(m_sentTo.size()) < most);
     }
     const bool repeatable = !irreversible || !m_request.operation.empty();
     return channel.isReused() && repeatable && !m_request.source;
--- a/packages/daemon/src/router/gatepool.cpp
+++ b/packages/daemon/src/router/gatepool.cpp
@@ -14,10 +14,10 @@
 {
     auto &idle = m_idle[address];
     while (!idle.empty()) {
-        auto channel = std::move(idle.back());
+        Idle newest = std::move(idle.back());
         idle.pop_back();
-        if (!isStale(channel->socket())) {
-            return channel;
+        if (m_clock.now() - newest.since <= m_longestIdle && !isStale(newest.channel->socket())) {
+            return std::move(newest.channel);
         }
     }
     return nullptr;
@@ -49,7 +49,7 @@
 void GatePool::giveBack(const std::string &address, std::unique_ptr<FrameChannel> channel)
 {
     auto &idle = m_idle[address];
-    idle.push_back(std::move(channel));
+    idle.push_back({std::move(channel), m_clock.now()});
     if (idle.size() > MAX_IDLE_PER_GATE) {
         idle.pop_front();
     }
--- a/packages/daemon/src/router/gatepool.h
+++ b/packages/daemon/src/router/gatepool.h
@@ -11,13 +11,18 @@
 
 namespace mustardpond {
 
+constexpr Millis DEFAULT_LONGEST_IDLE{60000};
+
 /// A channel serves one exchange at a time, so back-pressure is TCP's own and a broken exchange costs one connection.
 class GatePool
 {
 public:
-    GatePool(asio::io_context &context, std::string bindAddress)
+    /// @param longestIdle after which a connection is not used again: the machine behind it may be another one, and
+    /// nothing tells
+    GatePool(asio::io_context &context, std::string bindAddress, Millis longestIdle = DEFAULT_LONGEST_IDLE)
         : m_context(context)
         , m_bindAddress(std::move(bindAddress))
+        , m_longestIdle(longestIdle)
     {
     }
 
@@ -37,7 +42,14 @@
 private:
     asio::io_context &m_context;
     std::string m_bindAddress;
-    std::unordered_map<std::string, std::deque<std::unique_ptr<FrameChannel>>> m_idle;
+    struct Idle {
+        std::unique_ptr<FrameChannel> channel;
+        Millis since;
+    };
+
+    Millis m_longestIdle;
+    SteadyClock m_clock;
+    std::unordered_map<std::string, std::deque<Idle>> m_idle;
 };
 
 } // namespace mustardpond
--- a/packages/daemon/src/router/router.cpp
+++ b/packages/daemon/src/router/router.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr Millis LONGEST_IDLE{5000}; ///< of a connection to a gate
 constexpr Millis TICK{20};
 constexpr Millis SLOW_TICK{1000}; ///< where nothing is judged between requests
 constexpr Millis CONFIGURATION_CHECK{50};
@@ -23,10 +24,11 @@
     , m_settings(settings)
     , m_dialect(std::move(dialect))
     , m_table(settings.detection, profileForCost(settings.lateDetectionCost), random)
-    , m_pool(context, settings.bindAddress)
+    , m_pool(context, settings.bindAddress, LONGEST_IDLE)
     , m_nextRequest(random.next())
-    , m_dispatch{context, clock, m_table, m_pool, m_metrics, m_nextRequest,
-                 settings.refusal, settings.detection == Detection::Gates, nullptr}
+    , m_dispatch{context,   clock,         m_table,          m_pool,
+                 m_metrics, m_nextRequest, settings.refusal, settings.detection == Detection::Gates,
+                 nullptr}
     , m_listener(std::make_shared<Listener>(context, settings.caller, [this](tcp::socket socket, const Yield &yield) {
         if (!hasRoom()) {
             return;
--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "decision/burn.h"
+#include "decision/weightedturns.h"
 #include "dialects.h"
 #include "dispatch.h"
-#include "decision/weightedturns.h"
 #include "net/listener.h"
 
 #include "foundation/kernel.h"
--- a/packages/daemon/src/router/routingtable.cpp
+++ b/packages/daemon/src/router/routingtable.cpp
@@ -72,7 +72,8 @@
 {
     // In any window a router retries at most its burst and its share of the first tries, so the sum over all routers
     // stays within the fleet's bounds however the requests are spread.
-    const auto routers = static_cast<double>(std::count_if(m_view->members.begin(), m_view->members.end(), takesRequests));
+    const auto routers =
+        static_cast<double>(std::count_if(m_view->members.begin(), m_view->members.end(), takesRequests));
     RetryLimits limits;
     limits.share = m_retryLimits.share * SHARE_MARGIN;
     if (m_retryLimits.extra > 0) {
--- a/packages/decision/include/decision/placement.h
+++ b/packages/decision/include/decision/placement.h
@@ -27,9 +27,10 @@
     bool large = false; ///< its body is dear to move
 };
 
-/// The candidate with the least expected time, in which farther ones are charged for the way. Without leave to wait, those
-/// known to be full are left out. Answers a load that comes in bursts to some data centres while upstreams elsewhere have
-/// free slots, and upstreams that are slower than their peers for a while. Nothing when no candidate is left.
+/// The candidate with the least expected time, in which farther ones are charged for the way. Without leave to wait,
+/// those known to be full are left out. Answers a load that comes in bursts to some data centres while upstreams
+/// elsewhere have free slots, and upstreams that are slower than their peers for a while. Nothing when no candidate is
+/// left.
 std::optional<std::size_t> placeRequest(const std::vector<PlacementCandidate> &candidates, const PlacementNeeds &needs,
                                         Random &random);
 
--- a/packages/decision/include/decision/slotqueue.h
+++ b/packages/decision/include/decision/slotqueue.h
@@ -1,5 +1,6 @@
-/// Admission to one upstream: a bounded number of running requests and a queue ordered by rank, then deadline. It answers
-/// a load that exceeds the slots for a while: what others wait for goes first, so that no slot waits behind new work.
+/// Admission to one upstream: a bounded number of running requests and a queue ordered by rank, then deadline. It
+/// answers a load that exceeds the slots for a while: what others wait for goes first, so that no slot waits behind new
+/// work.
 #pragma once
 
 #include "foundation/clock.h"
--- a/packages/decision/include/decision/upstreamtrust.h
+++ b/packages/decision/include/decision/upstreamtrust.h
@@ -22,10 +22,10 @@
 constexpr EnumTable<Trust, 3> TRUST_NAMES = {
     {{Trust::Trusted, "trusted"}, {Trust::Doubtful, "doubtful"}, {Trust::Failing, "failing"}}};
 
-/// Judges an upstream that fails most of its requests for some seconds, then works again, at a few requests a second: too
-/// few for a statistical test to speak in time. One broken connection is enough to keep work away that must not be lost; a
-/// single error answer is not. Work that may be repeated tells, now and then, whether the upstream has recovered.
-/// Pure and not thread-safe.
+/// Judges an upstream that fails most of its requests for some seconds, then works again, at a few requests a second:
+/// too few for a statistical test to speak in time. One broken connection is enough to keep work away that must not be
+/// lost; a single error answer is not. Work that may be repeated tells, now and then, whether the upstream has
+/// recovered. Pure and not thread-safe.
 class UpstreamTrust
 {
 public:
--- a/packages/decision/include/decision/weightedturns.h
+++ b/packages/decision/include/decision/weightedturns.h
@@ -8,8 +8,8 @@
 
 namespace mustardpond {
 
-/// Smooth weighted turns: every stretch of requests keeps the proportions as well as whole numbers can, so a few requests
-/// a second come as near to the weights as many do. Not thread-safe.
+/// Smooth weighted turns: every stretch of requests keeps the proportions as well as whole numbers can, so a few
+/// requests a second come as near to the weights as many do. Not thread-safe.
 class WeightedTurns
 {
 public:
--- a/packages/decision/src/upstreamtrust.cpp
+++ b/packages/decision/src/upstreamtrust.cpp
@@ -15,6 +15,7 @@
 constexpr int RECOVERED_AFTER = 2; ///< successes in a row; one may be luck while most requests fail
 constexpr double HANG_FACTOR = 5; ///< a run that takes so many usual service times may hang
 constexpr Millis LEAST_HANG{400};
+constexpr Millis UNKNOWN_HANG{2500}; ///< while no run has ended yet
 constexpr double TIME_MEMORY = 0.15; ///< weight of the newest service time
 constexpr int FAILING_STREAK = 2;
 
@@ -121,7 +122,8 @@
 {
     return std::any_of(m_running.begin(), m_running.end(), [this, now](const auto &entry) {
         const Running &run = entry.second;
-        const Millis limit(std::max(LEAST_HANG.value, typical(run.workClass).value * HANG_FACTOR));
+        const Millis usual = typical(run.workClass);
+        const Millis limit = usual > Millis() ? std::max(LEAST_HANG, usual * HANG_FACTOR) : UNKNOWN_HANG;
         return now - run.startedAt > limit && m_lastSuccess < run.startedAt + limit;
     });
 }
--- a/packages/decision/test/upstreamtrust_test.cpp
+++ b/packages/decision/test/upstreamtrust_test.cpp
@@ -99,6 +99,13 @@
     EXPECT_EQ(trustAfter(RUN * 6), Trust::Doubtful);
 }
 
+TEST_F(UpstreamTrustTest, TheFirstRunsAreNotTakenForHanging)
+{
+    m_trust.onStart(99, "lookup", m_now);
+    EXPECT_EQ(trustAfter(Millis(1000)), Trust::Trusted);
+    EXPECT_EQ(trustAfter(Millis(2000)), Trust::Doubtful);
+}
+
 TEST_F(UpstreamTrustTest, WhatSaysNothingOfTheUpstreamChangesNothing)
 {
     run(AttemptResult::Unjudged, true);
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -69,9 +69,9 @@
     logState() = {format, node};
     // A log that nobody reads must not hold up the daemon: the oldest lines make room.
     spdlog::init_thread_pool(QUEUED_LINES, 1);
-    auto logger = std::make_shared<spdlog::async_logger>("mustardpond", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
-                                                         spdlog::thread_pool(),
-                                                         spdlog::async_overflow_policy::overrun_oldest);
+    auto logger =
+        std::make_shared<spdlog::async_logger>("mustardpond", std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+                                               spdlog::thread_pool(), spdlog::async_overflow_policy::overrun_oldest);
     logger->set_pattern(format == LogFormat::Json ? "%v" : "%Y-%m-%dT%H:%M:%S.%e %L " + node + " %v");
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
