--- a/tests/process/leave_test.sh
+++ b/tests/process/leave_test.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Callers leave while their router asks a gate that does not answer, first on a kept connection and then on a new one:
 # the router goes on serving.
-TEST=leave BASE=54
+TEST=leave BASE=57
 . "$(dirname "$0")/fixture.sh"
 startFleet sicil
 callers warm --work "$LOOKUP" --rate 200 --connections 20 --seconds 2 --seed 71
