Bound waits over all rounds and by a planned stop; tell calls of running requests from callers

The wait was bounded in each round but not over the rounds: one waited 16.6 s. (2) A request that waited at a gate stayed there while the gate's trust in its upstream went: one waited 3.2 s with an estimate of 66 ms, behind requests that hung.

Change. longestWait (pure, tested) bounds the whole wait by target, deadline and planned stop; at the end of a stop the router answers what waits (503, not run) and what runs (502); a stopping gate serves other routers for 1.5 s more; waiting requests are rechecked each 200 ms. A call is one if its id names a request that the upstream beside is running. New event E705, one line for each answered request, with distance and configuration version.

--- a/packages/config/include/config/configsnapshot.h
+++ b/packages/config/include/config/configsnapshot.h
@@ -51,6 +51,8 @@
     {
         return m_routeCount;
     }
+    /// The highest version of any object in force; 0 without objects.
+    std::uint64_t newestVersion() const;
     /// The version in force of each object, by "kind/name".
     const std::unordered_map<std::string, std::uint64_t> &versions() const
     {
--- a/packages/config/src/configsnapshot.cpp
+++ b/packages/config/src/configsnapshot.cpp
@@ -176,6 +176,15 @@
     }
 }
 
+std::uint64_t ConfigSnapshot::newestVersion() const
+{
+    std::uint64_t newest = 0;
+    for (const auto &[object, version] : m_versions) {
+        newest = std::max(newest, version);
+    }
+    return newest;
+}
+
 std::shared_ptr<const ConfigSnapshot> ConfigBuilder::build() const
 {
     auto snapshot = std::make_shared<ConfigSnapshot>();
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -19,7 +19,9 @@
 constexpr const char LOCAL[] = "local";
 constexpr Millis LEAVE_SPREAD{2500}; ///< for the leave to reach every router
 constexpr Millis STOP_CHECK{20};
+constexpr Millis GATE_STAYS{1500}; ///< while callers are still told to leave, the upstream is of use to other routers
 constexpr double GRACE_SHARE = 0.92; ///< of the grace time; the rest is for ending
+constexpr Millis LAST_ANSWERS{150}; ///< before the end, for the answers to requests that are given up
 constexpr Millis SETTINGS_CHECK{1000};
 constexpr Millis REFUSAL_LIFETIME{600000};
 constexpr Millis HELD_PERIOD{10000};
@@ -95,6 +97,9 @@
     router->dispatchContext().standing = [this, gate = gate.get()](std::uint64_t fingerprint) {
         return gate->context().quarantine.standing(fingerprint, m_clock.now());
     };
+    router->dispatchContext().runsHere = [gate = gate.get()](const std::string &id) {
+        return gate->context().atUpstreams.contains(id);
+    };
     auto lastAsked = std::make_shared<std::map<std::string, Millis>>();
     router->onSaturation([this, lastAsked, router = router.get(),
                           control = control.get()](const std::string &service, const std::string &workClass) {
@@ -172,22 +177,27 @@
     const auto router = m_kernel.find<Router>(ROUTER);
     const auto gate = m_kernel.find<Gate>(GATE);
     logEvent(Event::Stopping, {{"graceMs", m_settings.limits.stopGrace.value}});
-    m_kernel.find<ControlPlane>(CONTROL)->leave();
-    gate->leave();
-    router->leave();
     const Millis startedAt = m_clock.now();
     const Millis grace = m_settings.limits.stopGrace * GRACE_SHARE;
-    const auto waitWhile = [&](const std::function<bool()> &condition) {
+    const Millis patience = grace - LAST_ANSWERS;
+    router->leave(startedAt + patience);
+    const auto waitWhile = [&](const std::function<bool()> &condition, Millis limit) {
         asio::steady_timer timer(m_context);
-        while (condition() && m_clock.now() - startedAt < grace) {
+        while (condition() && m_clock.now() - startedAt < limit) {
             timer.expires_after(toDuration(STOP_CHECK));
             ErrorCode ignored;
             timer.async_wait(yield[ignored]);
         }
     };
-    waitWhile([&] { return m_clock.now() - startedAt < LEAVE_SPREAD; });
+    const auto always = [] { return true; };
+    waitWhile(always, std::min(GATE_STAYS, patience));
+    m_kernel.find<ControlPlane>(CONTROL)->leave();
+    gate->leave();
+    waitWhile(always, std::min(LEAVE_SPREAD, patience));
     router->stopAccepting(yield);
-    waitWhile([&] { return gate->isBusy() || !router->isQuiet(); });
+    waitWhile([&] { return gate->isBusy() || !router->isQuiet(); }, patience);
+    router->giveUp();
+    waitWhile([&] { return router->isBusy(); }, grace);
     m_kernel.stop();
     logEvent(Event::Stopped, {{"node", m_settings.node}});
     m_context.stop();
--- a/packages/daemon/src/dialect/callerdialect.h
+++ b/packages/daemon/src/dialect/callerdialect.h
@@ -14,6 +14,7 @@
 /// What the head of a caller's request says to the router.
 struct CallerTerms {
     std::string requestId; ///< empty when the caller gives none
+    std::string parentId; ///< of the running request that this may be a call of, as far as the head tells
     std::string organisation;
     std::string operation; ///< empty when the caller opened none
     std::optional<Millis> timeLeft; ///< how long the caller will wait
--- a/packages/daemon/src/dialect/owndialect.cpp
+++ b/packages/daemon/src/dialect/owndialect.cpp
@@ -100,6 +100,11 @@
     head.set(DEADLINE_FIELD, std::to_string(static_cast<std::int64_t>(terms.timeLeft.value)));
 }
 
+std::string OwnUpstreamDialect::requestIdOf(const http::fields & /*head*/) const
+{
+    return {}; // callers name no requests
+}
+
 AnswerVerdict OwnUpstreamDialect::judge(const http::fields & /*request*/, unsigned /*status*/,
                                         const http::fields & /*answer*/) const
 {
--- a/packages/daemon/src/dialect/upstreamdialect.h
+++ b/packages/daemon/src/dialect/upstreamdialect.h
@@ -35,6 +35,8 @@
 public:
     virtual ~UpstreamDialect() = default;
     virtual void spell(const UpstreamTerms &terms, http::fields &head) const = 0;
+    /// The id that the caller gave the request; empty when it gave none.
+    virtual std::string requestIdOf(const http::fields &head) const = 0;
     /// @param request the head that was sent
     virtual AnswerVerdict judge(const http::fields &request, unsigned status, const http::fields &answer) const = 0;
 };
--- a/packages/daemon/src/gate/gatecontext.h
+++ b/packages/daemon/src/gate/gatecontext.h
@@ -8,6 +8,7 @@
 #include "decision/upstreamtrust.h"
 #include "dialects.h"
 #include "operationwaits.h"
+#include "runningrequests.h"
 #include "slotturns.h"
 #include "upstreamclient.h"
 #include "upstreamregistry.h"
@@ -63,6 +64,7 @@
     std::uint64_t nextRun = 0;
     std::function<void(std::uint64_t)> reportCrash; ///< tells the other daemons
     bool leaving = false;
+    RunningRequests atUpstreams;
     std::size_t running = 0; ///< requests that the gate has accepted and not answered
 };
 
--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -360,6 +360,7 @@
         request.insert(header->name, header->value);
     }
     m_gate.dialect->spell({m_servedBy, remaining()}, request);
+    m_runningMark.emplace(m_gate.atUpstreams, m_gate.dialect->requestIdOf(request));
     const bool lengthKnown = !m_request.streamed || m_request.bodyBytes > 0;
     if (lengthKnown) {
         const auto length = m_request.streamed ? m_request.bodyBytes : m_request.body.size();
--- a/packages/daemon/src/gate/gaterun.h
+++ b/packages/daemon/src/gate/gaterun.h
@@ -83,6 +83,7 @@
     bool m_connectionLost = false; ///< the exchange failed, and not by a timeout
     AttemptResult m_result = AttemptResult::Unjudged;
     std::string m_servedBy;
+    std::optional<RunningMark> m_runningMark; ///< while the upstream has the request
 };
 
 } // namespace mustardpond
--- a/packages/daemon/src/gate/turnrequest.cpp
+++ b/packages/daemon/src/gate/turnrequest.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Millis SEND_TIMEOUT{5000};
+constexpr Millis RECHECK{200}; ///< while a request waits, the upstream may become one that must not have it
 constexpr Millis URGENCY_STEP{400}; ///< of waiting time that one step of priority is worth
 
 } // namespace
@@ -59,17 +60,26 @@
     if (full) {
         sendTurn(wire::TurnState::Waiting, yield);
     }
-    switch (takeTurn(queue, yield)) {
-    case Turn::Full:
-        deny({NotRunReason::Busy, "the upstream's queue is full"}, yield);
-        return nullptr;
-    case Turn::Expired:
-        deny({NotRunReason::Deadline, "the deadline passed in the upstream's queue"}, yield);
-        return nullptr;
-    case Turn::Taken:
-        break;
+    while (true) {
+        switch (takeTurn(queue, yield)) {
+        case Turn::Full:
+            deny({NotRunReason::Busy, "the upstream's queue is full"}, yield);
+            return nullptr;
+        case Turn::Taken:
+            return std::make_unique<SlotHold>(m_gate.turns, queue);
+        case Turn::Expired:
+            break;
+        }
+        const Millis now = m_gate.clock.now();
+        if (const auto denial = denialOf(m_gate, m_query, now)) {
+            deny(*denial, yield);
+            return nullptr;
+        }
+        if (m_withdrawn || now >= m_deadline) {
+            deny({NotRunReason::Deadline, "the deadline passed in the upstream's queue"}, yield);
+            return nullptr;
+        }
     }
-    return std::make_unique<SlotHold>(m_gate.turns, queue);
 }
 
 TurnOrder TurnRequest::turnOrder() const
@@ -85,7 +95,8 @@
 
 Turn TurnRequest::takeTurn(const std::shared_ptr<SlotQueue> &queue, const Yield &yield)
 {
-    const Millis remaining(std::max(1.0, (m_deadline - m_gate.clock.now()).value));
+    const Millis left = m_deadline - m_gate.clock.now();
+    const Millis remaining(std::max(1.0, std::min(RECHECK.value, left.value)));
     const TurnOrder order = turnOrder();
     if (queue->running() < queue->slots() && queue->waiting() == 0) {
         return m_gate.turns.take(queue, order, remaining, yield);
@@ -94,6 +105,7 @@
     auto waiting = std::make_shared<bool>(true);
     m_channel.socket().async_wait(tcp::socket::wait_read, [this, ticket, waiting](ErrorCode error) {
         if (!error && *waiting) {
+            m_withdrawn = true;
             m_gate.turns.cancel(ticket);
         }
     });
--- a/packages/daemon/src/gate/turnrequest.h
+++ b/packages/daemon/src/gate/turnrequest.h
@@ -36,6 +36,7 @@
     AdmissionQuery m_query;
     Millis m_deadline;
     Millis m_grantedAt;
+    bool m_withdrawn = false; ///< the router has closed the channel, or sent what it must not
 };
 
 } // namespace mustardpond
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -78,6 +78,13 @@
     return m_busy || m_buffer.size() > 0 ? Millis() : now - m_idleSince;
 }
 
+void CallerSession::giveUp()
+{
+    if (m_dispatch) {
+        m_dispatch->giveUp();
+    }
+}
+
 void CallerSession::run(const Yield &yield)
 {
     while (m_open && readHead(yield)) {
@@ -217,7 +224,9 @@
     m_stream.expires_never();
     Dispatch dispatch(m_router.dispatchContext(), request);
     watchCaller(request, dispatch);
+    m_dispatch = &dispatch;
     DispatchResult result = dispatch.run(yield);
+    m_dispatch = nullptr;
     stopWatching();
     if (dispatch.hasLeft()) {
         m_open = false;
@@ -256,7 +265,7 @@
     request.operation = terms.operation;
     request.method = std::string(head.method_string());
     request.target = std::string(head.target());
-    request.inner = isInner();
+    request.inner = isInner(terms);
     const Millis limit = request.workClass.deadline;
     request.deadline = m_router.clock().now() + Millis(std::min(terms.timeLeft.value_or(limit).value, limit.value));
     takeHeaders(request);
@@ -346,12 +355,11 @@
                        [&name](beast::string_view token) { return beast::iequals(token, name); });
 }
 
-bool CallerSession::isInner() const
+bool CallerSession::isInner(const CallerTerms &terms) const
 {
-    ErrorCode error;
-    const auto peer = m_stream.socket().remote_endpoint(error);
-    const auto &upstream = m_router.settings().upstream;
-    return !error && upstream && peer.address().to_string() == upstream->address;
+    // Callers share the host's address with the upstream, so the address tells nothing.
+    const auto &runsHere = m_router.dispatchContext().runsHere;
+    return runsHere && runsHere(terms.parentId);
 }
 
 void CallerSession::watchCaller(const CallerRequest &request, Dispatch &dispatch)
@@ -448,19 +456,25 @@
     const bool whole = outcome == Outcome::Ran && !isServerError(result.answer.status);
     served.good = whole && latency <= request.workClass.latencyTarget;
     served.retried = result.retried;
-    served.spilled = result.spilled;
+    served.spilled = result.distance == Distance::OtherRegion;
     served.held = result.held;
     m_router.burn().add(served, now);
-    if (whole && !served.good) {
-        logEvent(Event::RequestLate,
+    if (outcome == Outcome::Ran) {
+        logEvent(whole && !served.good ? Event::RequestLate : Event::RequestAnswered,
                  {{"request", request.id},
                   {"class", request.workClass.name},
+                  {"service", request.service},
                   {"upstream", result.upstream},
+                  {"inner", request.inner},
+                  {"distance", nameOf(DISTANCE_NAMES, result.distance)},
+                  {"status", result.answer.status},
+                  {"bytes", request.body.size() + result.answer.body.size()},
                   {"afterMs", latency.value},
                   {"targetMs", request.workClass.latencyTarget.value},
                   {"upstreamMs", result.answer.upstreamMs},
                   {"queuedMs", result.answer.queuedMs},
-                  {"retried", result.retried}});
+                  {"retried", result.retried},
+                  {"config", m_router.view().config->newestVersion()}});
     }
 }
 
@@ -477,7 +491,8 @@
     response.keep_alive(keepAlive());
     const bool isHead = m_parser->get().method() == http::verb::head;
     if (answer.streamed) {
-        const RegionBytes count(m_router.metrics(), request.organisation, *result.channel, result.spilled);
+        const RegionBytes count(m_router.metrics(), request.organisation, *result.channel,
+                                result.distance == Distance::OtherRegion);
         return replyStreamed(result, response, yield);
     }
     const bool bodyless = answer.status == 204 || answer.status == 304;
--- a/packages/daemon/src/router/callersession.h
+++ b/packages/daemon/src/router/callersession.h
@@ -26,6 +26,13 @@
     void run(const Yield &yield);
     /// Time since the last answer, or since the connection; zero while a request is being read or served.
     Millis idleTime(Millis now) const;
+    /// Whether a request is being read or served.
+    bool isBusy() const
+    {
+        return m_busy;
+    }
+    /// The router stops: answers the request that is waiting, if any, with what is known of it.
+    void giveUp();
 
 private:
     using RequestParser = http::request_parser<http::buffer_body>;
@@ -56,8 +63,8 @@
     void stopWatching();
     CallerLimits callerLimits() const;
     bool isConnectionField(const std::string &name) const;
-    /// Whether the upstream beside this daemon is the caller.
-    bool isInner() const;
+    /// Whether the upstream beside this daemon calls, for a request that it is running.
+    bool isInner(const CallerTerms &terms) const;
     void replyText(http::response<http::string_body> &response, const Yield &yield);
     void record(const CallerRequest &request, const DispatchResult &result, Millis startedAt);
     bool keepAlive() const;
@@ -68,6 +75,7 @@
     std::optional<RequestParser> m_parser;
     Millis m_idleSince;
     bool m_busy = false;
+    Dispatch *m_dispatch = nullptr; ///< of the request that is being served
     bool m_open = true;
     std::shared_ptr<bool> m_watch; ///< whether the caller is being watched
 };
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -5,6 +5,8 @@
 #include "regionbytes.h"
 #include "silencewatch.h"
 
+#include "decision/waitlimit.h"
+
 #include "foundation/errors.h"
 #include "foundation/events.h"
 
@@ -29,8 +31,6 @@
 constexpr int LAST_PROMPT_ROUND = 5; ///< after this round, a request is refused rather than held
 constexpr int MOST_REMOTE_ASKS = 2; ///< of gates in other regions, before waiting at one
 constexpr std::size_t LARGE_BODY_BYTES = 16 * KIB;
-constexpr double TYPICAL_MARGIN = 1.2; ///< usual run times that a request needs after its wait
-constexpr Millis LEAST_WAITING{300};
 constexpr Millis LEAST_RETRY_AFTER{200};
 constexpr Millis PATH_PATIENCE{150}; ///< for the first word of a gate, beyond the usual round trip
 constexpr Millis REGION_ROUND_TRIP{30}; ///< to another region and back, with room for jitter
@@ -94,6 +94,9 @@
 {
     m_shared.table.retryBudget(m_request.service).onFirstTry();
     while (remaining() > Millis() && !m_left) {
+        if (hasStopped()) {
+            return settleStopped();
+        }
         const UpstreamRef *chosen = chooseUpstream();
         if (!chosen) {
             if (endRound(yield)) {
@@ -152,19 +155,23 @@
     if (m_round < WAITING_ROUND) {
         return m_leastWait > waitingTime();
     }
-    return m_round >= LAST_PROMPT_ROUND;
+    return m_round >= LAST_PROMPT_ROUND || waitingTime() <= Millis();
 }
 
 Millis Dispatch::waitingTime() const
 {
-    const Millis typical = m_shared.table.typicalTime(m_request.service, m_request.workClass.name);
-    const Millis latest = remaining() - typical * TYPICAL_MARGIN;
     if (!m_shared.table.placesByGates()) {
         return remaining();
     }
-    // While more comes in than the slots can run, a longer queue serves no more requests, only all of them late.
-    const Millis target = m_request.workClass.latencyTarget - typical;
-    return std::max(Millis(), std::min(latest, std::max(target, LEAST_WAITING)));
+    const Millis now = m_shared.clock.now();
+    WaitBounds bounds;
+    bounds.target = m_request.workClass.latencyTarget;
+    bounds.typical = m_shared.table.typicalTime(m_request.service, m_request.workClass.name);
+    bounds.waited = now - m_startedAt;
+    bounds.left = remaining();
+    bounds.untilStop = m_shared.stopAt - now;
+    bounds.inner = m_request.inner;
+    return longestWait(bounds);
 }
 
 bool Dispatch::mustServe() const
@@ -183,9 +190,38 @@
     settleNotRun(NotRunReason::Busy, detail);
 }
 
+bool Dispatch::isOver() const
+{
+    return m_left || hasStopped() || remaining() <= Millis();
+}
+
+bool Dispatch::hasStopped() const
+{
+    return m_shared.clock.now() >= m_shared.stopAt;
+}
+
+void Dispatch::settleStopped()
+{
+    m_result.retryAfter = LEAST_RETRY_AFTER;
+    if (m_maybeRan) {
+        return settleUnknown("the daemon stops, and the request may have run");
+    }
+    settleNotRun(NotRunReason::Leaving, "the daemon stops before the request could run");
+}
+
 void Dispatch::leave()
 {
     m_left = true;
+    interrupt();
+}
+
+void Dispatch::giveUp()
+{
+    interrupt();
+}
+
+void Dispatch::interrupt()
+{
     if (m_current) {
         m_current->close();
     }
@@ -224,14 +260,27 @@
         return false;
     }
     if (attempt.failed) {
-        settleUnknown("the connection to the gate failed while the request was there");
+        settleFailed(attempt);
         return true;
     }
-    m_result.spilled = ref.distance == Distance::OtherRegion;
+    m_result.distance = ref.distance;
     m_result.answer = std::move(attempt.answer);
     return true;
 }
 
+void Dispatch::settleFailed(const Attempt &attempt)
+{
+    m_maybeRan = true;
+    if (hasStopped()) {
+        return settleStopped();
+    }
+    if (remaining() <= Millis()) {
+        m_result.timedOut = true;
+        return settleUnknown("no answer came before the deadline");
+    }
+    settleUnknown("the connection to the gate failed while the request was there: " + attempt.cause);
+}
+
 void Dispatch::logMove(const Attempt &attempt, const UpstreamRef &ref) const
 {
     logEvent(
@@ -273,7 +322,7 @@
     if (attempt.answer.reason == wire::NotRunReason::Quarantined || isSuspect()) {
         return false;
     }
-    if (m_request.workClass.kind == WorkKind::Irreversible || m_bodyConsumed || remaining() <= Millis() || m_left) {
+    if (m_request.workClass.kind == WorkKind::Irreversible || m_bodyConsumed || isOver()) {
         return false;
     }
     const int most = m_request.workClass.maxAttempts;
@@ -430,7 +479,7 @@
             m_shared.pool.drop(ref.gate);
         }
     }
-    if (m_left) {
+    if (isOver()) {
         throw boost::system::system_error(asio::error::operation_aborted);
     }
     auto channel = m_shared.pool.connect(ref.gate, pathPatience(ref), yield);
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -42,7 +42,7 @@
     std::unique_ptr<FrameChannel> channel; ///< where the rest of a streamed answer comes from
     std::string upstream;
     bool retried = false;
-    bool spilled = false;
+    Distance distance = Distance::SameDataCentre; ///< of the upstream that answered
     bool held = false;
     bool timedOut = false; ///< the time for the answer has run out
     Millis retryAfter; ///< when a request that has not run may come again
@@ -57,9 +57,13 @@
     Metrics &metrics;
     std::uint64_t &nextRequest;
     RefusalPolicy refusal = RefusalPolicy::Director;
+    /// When the router has to be done with all requests, on its clock.
+    Millis stopAt{1e15};
     bool movesSlow = false; ///< idempotent requests are moved when their upstream is much slower than usual
     /// Standing of requests by their fingerprint; null without a gate in the process.
     std::function<RequestStanding(std::uint64_t)> standing;
+    /// Whether the upstream beside the router is running the request of that id; null without a gate in the process.
+    std::function<bool(const std::string &)> runsHere;
 };
 
 class Dispatch
@@ -68,6 +72,7 @@
     Dispatch(DispatchContext &shared, CallerRequest &request)
         : m_shared(shared)
         , m_request(request)
+        , m_startedAt(shared.clock.now())
     {
     }
 
@@ -76,6 +81,8 @@
     DispatchResult run(const Yield &yield);
     /// The caller has left: gives up what may be given up. To be called while run() waits.
     void leave();
+    /// The router stops: ends a wait for a turn, and the wait for an answer. To be called while run() waits.
+    void giveUp();
     bool hasLeft() const
     {
         return m_left;
@@ -98,11 +105,17 @@
     /// Starts the next round when all upstreams have been asked. True when the request is settled instead.
     bool endRound(const Yield &yield);
     bool isHopeless() const;
-    /// How long the request may wait for a slot.
+    /// How long the request may wait for a slot, from now on.
     Millis waitingTime() const;
     /// Whether upstreams that their gates do not trust have to take the request.
     bool mustServe() const;
     void refuse(const std::string &detail);
+    bool hasStopped() const;
+    /// Whether nothing more may be tried.
+    bool isOver() const;
+    void settleFailed(const Attempt &attempt);
+    void settleStopped();
+    void interrupt();
     bool reserveTurn(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield);
     std::unique_ptr<FrameChannel> openReserved(const UpstreamRef &ref, Attempt &attempt, const Yield &yield);
     wire::ReserveT reservation(const UpstreamRef &ref, std::uint64_t number) const;
@@ -141,6 +154,7 @@
     bool m_sawBusy = false; ///< a gate would take the request, but for its slots
     Millis m_leastWait{-1}; ///< as the gates of this round estimate it; negative when none has said
     bool m_left = false;
+    Millis m_startedAt;
     FrameChannel *m_current = nullptr; ///< where an exchange is going on
     asio::steady_timer *m_pausing = nullptr;
     bool m_maybeRan = false; ///< some attempt has no proof that it did not run
--- a/packages/daemon/src/router/router.cpp
+++ b/packages/daemon/src/router/router.cpp
@@ -26,9 +26,7 @@
     , m_table(settings.detection, profileForCost(settings.lateDetectionCost), random)
     , m_pool(context, settings.bindAddress, LONGEST_IDLE)
     , m_nextRequest(random.next())
-    , m_dispatch{context,   clock,         m_table,          m_pool,
-                 m_metrics, m_nextRequest, settings.refusal, settings.detection == Detection::Gates,
-                 nullptr}
+    , m_dispatch{context, clock, m_table, m_pool, m_metrics, m_nextRequest, settings.refusal}
     , m_listener(std::make_shared<Listener>(context, settings.caller, [this](tcp::socket socket, const Yield &yield) {
         if (!hasRoom()) {
             return;
@@ -37,6 +35,7 @@
         session.run(yield);
     }))
 {
+    m_dispatch.movesSlow = settings.detection == Detection::Gates;
 }
 
 void Router::start()
@@ -73,9 +72,23 @@
     return route.parts[turns->second.next()].service;
 }
 
-void Router::leave()
+void Router::leave(Millis stopAt)
 {
     m_leaving = true;
+    m_dispatch.stopAt = stopAt;
+}
+
+void Router::giveUp()
+{
+    for (CallerSession *session : m_sessions) {
+        session->giveUp();
+    }
+}
+
+bool Router::isBusy() const
+{
+    return std::any_of(m_sessions.begin(), m_sessions.end(),
+                       [](const CallerSession *session) { return session->isBusy(); });
 }
 
 bool Router::isQuiet() const
--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -39,7 +39,12 @@
         m_onSaturation = std::move(handler);
     }
     /// Asks callers to connect elsewhere; requests in flight go on.
-    void leave();
+    /// @param stopAt when all requests have to be done with, on the router's clock
+    void leave(Millis stopAt);
+    /// Answers all requests that are still waiting; to be called at the time that leave() was told.
+    void giveUp();
+    /// Whether a request is being read or served.
+    bool isBusy() const;
     /// Serves the callers that have connected already, and no others.
     void stopAccepting(const Yield &yield)
     {
@@ -51,11 +56,11 @@
     }
     /// Whether no caller has a request here, nor has sent anything for a while.
     bool isQuiet() const;
-    void addSession(const CallerSession *session)
+    void addSession(CallerSession *session)
     {
         m_sessions.insert(session);
     }
-    void removeSession(const CallerSession *session)
+    void removeSession(CallerSession *session)
     {
         m_sessions.erase(session);
     }
@@ -135,7 +140,7 @@
     DispatchContext m_dispatch;
     std::shared_ptr<Listener> m_listener;
     SaturationHandler m_onSaturation;
-    std::set<const CallerSession *> m_sessions;
+    std::set<CallerSession *> m_sessions;
     bool m_leaving = false;
     bool m_stopped = false;
 };
--- a/packages/decision/include/decision/balancer.h
+++ b/packages/decision/include/decision/balancer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "foundation/clock.h"
+#include "foundation/enumtable.h"
 #include "foundation/random.h"
 
 #include <optional>
@@ -13,6 +14,10 @@
 /// How far away an upstream is from the router.
 enum class Distance : std::uint8_t { SameDataCentre, SameRegion, OtherRegion };
 
+constexpr EnumTable<Distance, 3> DISTANCE_NAMES = {{{Distance::SameDataCentre, "data-centre"},
+                                                    {Distance::SameRegion, "region"},
+                                                    {Distance::OtherRegion, "other-region"}}};
+
 /// What a router knows of one upstream when it chooses.
 struct Candidate {
     std::string upstream;
--- /dev/null
+++ b/packages/decision/include/decision/waitlimit.h
@@ -0,0 +1,23 @@
+/// How long a request may wait for a turn.
+#pragma once
+
+#include "foundation/clock.h"
+
+namespace mustardpond {
+
+/// What bounds the wait of one request, at this moment.
+struct WaitBounds {
+    Millis target; ///< latency target of the class
+    Millis typical; ///< usual service time of the class; 0 when unknown
+    Millis waited; ///< since the request arrived
+    Millis left; ///< until the caller's deadline
+    Millis untilStop; ///< until the router has to be done with the request
+    bool inner = false; ///< a running request waits for the answer
+};
+
+/// Longest further wait that can end well; 0 when none can. Under overload a longer queue serves no more requests, only
+/// all of them late, so a request does not wait beyond its target. A call that a running request needs waits as long as
+/// it could still run in time: its failure would waste what has run already.
+Millis longestWait(const WaitBounds &bounds);
+
+} // namespace mustardpond
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -44,11 +44,12 @@
     RequestMoved = 702,
     RequestLate = 703,
     RequestLeft = 704,
+    RequestAnswered = 705,
     SettingsReloaded = 104,
     ReadyChanged = 105,
 };
 
-constexpr EnumTable<Event, 36> EVENT_NAMES = {{
+constexpr EnumTable<Event, 37> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -83,6 +84,7 @@
     {Event::RequestMoved, "request-moved"},
     {Event::RequestLate, "request-late"},
     {Event::RequestLeft, "request-left"},
+    {Event::RequestAnswered, "request-answered"},
     {Event::SettingsReloaded, "settings-reloaded"},
     {Event::ReadyChanged, "ready-changed"},
 }};
