Tell usual times by class, so that short runs make no upstream look fast

Cause: gates told one usual time for all classes.

Change: Load tells the time of the request's class (0 when unknown); routers keep it by class. Turn carries no load, which nobody read.

The test fails with one time for all classes.

--- a/packages/daemon/src/gate/admission.cpp
+++ b/packages/daemon/src/gate/admission.cpp
@@ -54,14 +54,14 @@
     return ahead > 0 ? trust.typical() * (ahead / slots) : Millis();
 }
 
-wire::LoadT loadOf(GateContext &gate, const LocalUpstream &upstream)
+wire::LoadT loadOf(GateContext &gate, const LocalUpstream &upstream, const std::string &workClass)
 {
     const bool cold = gate.clock.now() < upstream.coldUntil;
     wire::LoadT load;
     load.inFlight = static_cast<std::uint32_t>(upstream.queue->running());
     load.queued = static_cast<std::uint32_t>(upstream.queue->waiting());
     load.slots = static_cast<std::uint32_t>(upstream.queue->slots());
-    load.typicalMs = gate.trustOf(upstream.announced.id).typical().value * (cold ? COLD_FACTOR : 1);
+    load.typicalMs = gate.trustOf(upstream.announced.id).typicalOf(workClass).value * (cold ? COLD_FACTOR : 1);
     return load;
 }
 
--- a/packages/daemon/src/gate/admission.h
+++ b/packages/daemon/src/gate/admission.h
@@ -34,6 +34,6 @@
 Millis estimatedWait(const LocalUpstream &upstream, const UpstreamTrust &trust, const TurnOrder &order);
 
 /// The load of an upstream as routers are told it.
-wire::LoadT loadOf(GateContext &gate, const LocalUpstream &upstream);
+wire::LoadT loadOf(GateContext &gate, const LocalUpstream &upstream, const std::string &workClass);
 
 } // namespace mustardpond
--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -550,7 +550,7 @@
     answer.upstreamMs = started ? (now - m_startedAt).value : 0;
     answer.digest = bodyDigest(answer.body);
     if (const LocalUpstream *upstream = m_gate.registry.find(m_servedBy.empty() ? m_request.upstream : m_servedBy)) {
-        answer.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream));
+        answer.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream, m_request.workClass));
     }
     return answer;
 }
--- a/packages/daemon/src/gate/turnrequest.cpp
+++ b/packages/daemon/src/gate/turnrequest.cpp
@@ -121,9 +121,6 @@
     wire::TurnT turn;
     turn.request = m_reserve.request;
     turn.state = state;
-    if (const LocalUpstream *upstream = findUpstream(m_gate, m_query)) {
-        turn.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream));
-    }
     m_channel.send(packMessage(std::move(turn)), SEND_TIMEOUT, yield);
 }
 
@@ -136,7 +133,7 @@
     answer.detail = denial.detail;
     answer.digest = bodyDigest(answer.body);
     if (const LocalUpstream *upstream = findUpstream(m_gate, m_query)) {
-        answer.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream));
+        answer.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream, m_reserve.workClass));
         answer.waitMs = estimatedWait(*upstream, m_gate.trustOf(upstream->announced.id), turnOrder()).value;
     }
     m_channel.send(packMessage(std::move(answer)), SEND_TIMEOUT, yield);
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -662,7 +662,8 @@
     }
     if (attempt.answer.load) {
         const double requests = attempt.answer.load->inFlight + attempt.answer.load->queued;
-        m_shared.table.onLoad(m_request.service, ref.id, {requests, now, Millis(attempt.answer.load->typicalMs)});
+        m_shared.table.onLoad(m_request.service, ref.id, start.workClass,
+                              {requests, now, Millis(attempt.answer.load->typicalMs)});
     }
 }
 
--- a/packages/daemon/src/router/routingtable.cpp
+++ b/packages/daemon/src/router/routingtable.cpp
@@ -153,7 +153,10 @@
     const bool recent = now - upstream.reportedAt < REPORT_LIFETIME;
     const double reported = upstream.reported + upstream.running - upstream.runningAtReport;
     candidate.load = recent ? std::max(upstream.running, reported) : upstream.running;
-    candidate.typical = now - upstream.reportedAt < TYPICAL_LIFETIME ? upstream.typical : Millis();
+    const auto typical = upstream.typicals.find(workClass.name);
+    if (typical != upstream.typicals.end() && now - typical->second.at < TYPICAL_LIFETIME) {
+        candidate.typical = typical->second.value;
+    }
     candidate.avoided = state.detector->weight(ref.id, workClass.name, now) <= 0;
     return candidate;
 }
@@ -202,13 +205,14 @@
     upstream.network = upstream.network > Millis() ? blend(upstream.network, sample) : sample;
 }
 
-void RoutingTable::onLoad(const std::string &service, const std::string &upstream, const ReportedLoad &load)
+void RoutingTable::onLoad(const std::string &service, const std::string &upstream, const std::string &workClass,
+                          const ReportedLoad &load)
 {
     UpstreamState &state = stateOf(service).upstreams[upstream];
     state.reported = load.requests;
     state.runningAtReport = state.running;
     state.reportedAt = load.at;
-    state.typical = load.typical;
+    state.typicals[workClass] = {load.typical, load.at};
 }
 
 void RoutingTable::onGateSuspects(const std::string &service, const std::string &upstream, const std::string &workClass,
--- a/packages/daemon/src/router/routingtable.h
+++ b/packages/daemon/src/router/routingtable.h
@@ -21,7 +21,13 @@
 struct ReportedLoad {
     double requests = 0; ///< running and waiting
     Millis at;
-    Millis typical; ///< usual service time there, of all classes
+    Millis typical; ///< usual service time there, of one class; zero when it is not known
+};
+
+/// A time as it was told at some moment.
+struct TimedMillis {
+    Millis value;
+    Millis at;
 };
 
 /// Not thread-safe.
@@ -61,7 +67,8 @@
     /// @param network time of the attempt outside the gate
     void onFinish(const std::string &service, const AttemptStart &start, AttemptResult result, Millis serviceTime,
                   Millis network, Millis now);
-    void onLoad(const std::string &service, const std::string &upstream, const ReportedLoad &load);
+    void onLoad(const std::string &service, const std::string &upstream, const std::string &workClass,
+                const ReportedLoad &load);
 
     void onGateSuspects(const std::string &service, const std::string &upstream, const std::string &workClass,
                         Millis now);
@@ -88,7 +95,7 @@
         double reported = 0;
         double runningAtReport = 0;
         Millis reportedAt{-1e12};
-        Millis typical; ///< of all classes there, as reported
+        std::map<std::string, TimedMillis> typicals; ///< by class, as reported
         Millis network{0};
         std::map<std::string, Millis> serviceTimes; ///< by class
     };
--- /dev/null
+++ b/packages/daemon/test/routingtable_test.cpp
@@ -0,0 +1,87 @@
+#include "routingtable.h"
+
+#include "foundation/random.h"
+
+#include <gtest/gtest.h>
+
+namespace mustardpond {
+
+namespace {
+
+constexpr Millis NOW{10000};
+constexpr const char SERVICE[] = "sicil";
+
+UpstreamRef upstream(const std::string &id, Distance distance)
+{
+    UpstreamRef ref;
+    ref.id = id;
+    ref.distance = distance;
+    ref.slots = 5;
+    return ref;
+}
+
+WorkClass workClass(const std::string &name)
+{
+    WorkClass known;
+    known.name = name;
+    known.latencyTarget = Millis(2500);
+    return known;
+}
+
+class RoutingTableTest : public ::testing::Test
+{
+protected:
+    RoutingTableTest()
+        : m_random(7)
+        , m_table(Detection::Gates, profileForCost(10), m_random)
+    {
+        auto view = std::make_shared<FleetView>();
+        view->upstreams[SERVICE] = {upstream("near", Distance::SameDataCentre), upstream("far", Distance::OtherRegion)};
+        m_table.update(view);
+    }
+
+    void answer(const std::string &id, const std::string &className, Millis time)
+    {
+        AttemptStart start;
+        start.attempt = ++m_attempt;
+        start.upstream = id;
+        start.workClass = className;
+        m_table.onStart(SERVICE, start, NOW);
+        m_table.onFinish(SERVICE, start, AttemptResult::Answered, time, Millis(1), NOW);
+        m_table.onLoad(SERVICE, id, className, {0, NOW, time});
+    }
+
+    std::string placed(const std::string &className)
+    {
+        const UpstreamRef *ref = m_table.place(SERVICE, workClass(className), {}, {}, NOW);
+        return ref ? ref->id : "";
+    }
+
+    SeededRandom m_random;
+    RoutingTable m_table;
+    std::uint64_t m_attempt = 0;
+};
+
+// Load: short lookups and long ones at the same upstreams. An upstream that has just run short ones is no faster at
+// the long ones, and must not draw them to another region.
+TEST_F(RoutingTableTest, ShortRunsOfAnotherClassMakeNoUpstreamFast)
+{
+    answer("near", "long", Millis(900));
+    for (int i = 0; i < 20; ++i) {
+        answer("far", "short", Millis(2));
+    }
+    for (int i = 0; i < 50; ++i) {
+        EXPECT_EQ(placed("long"), "near");
+    }
+}
+
+TEST_F(RoutingTableTest, AnUpstreamThatIsMuchSlowerAtTheClassIsLeft)
+{
+    answer("far", "long", Millis(900));
+    answer("near", "long", Millis(4000));
+    EXPECT_EQ(placed("long"), "far");
+}
+
+} // namespace
+
+} // namespace mustardpond
--- a/packages/decision/include/decision/upstreamtrust.h
+++ b/packages/decision/include/decision/upstreamtrust.h
@@ -39,6 +39,8 @@
     }
     /// Usual service time of a class; of all classes for an unknown one.
     Millis typical(const std::string &workClass) const;
+    /// Usual service time of a class; zero for an unknown one.
+    Millis typicalOf(const std::string &workClass) const;
     Millis typical() const
     {
         return m_typical;
--- a/packages/decision/src/upstreamtrust.cpp
+++ b/packages/decision/src/upstreamtrust.cpp
@@ -134,4 +134,10 @@
     return found == m_typicalOf.end() ? m_typical : found->second;
 }
 
+Millis UpstreamTrust::typicalOf(const std::string &workClass) const
+{
+    const auto found = m_typicalOf.find(workClass);
+    return found == m_typicalOf.end() ? Millis() : found->second;
+}
+
 } // namespace mustardpond
