--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -165,6 +165,7 @@
         }
         m_settingsText = text;
         const DaemonSettings settings = parseDaemonSettings(text, m_path);
+        m_settings.limits = settings.limits;
         m_kernel.find<Router>(ROUTER)->reload(settings);
         logEvent(Event::SettingsReloaded, {{"path", m_path}});
     } catch (const Exception &error) {
--- /dev/null
+++ b/tests/process/stopwait_test.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# A planned stop answers every request that the router has read: also those that wait for a slot at the end of the
+# grace time, and those whose upstream is at work. The grace time comes with a reload of the settings.
+TEST=stopwait BASE=55
+. "$(dirname "$0")/fixture.sh"
+startFleet sicil
+settings="$OUT/node-$NEAR.1.json"
+sed -i 's/"log": "json"/"log": "json", "limits": {"stopGraceMs": 1500}/' "$settings"
+kill -HUP "${DAEMON_PIDS[$NEAR.1]}"
+waitFor 5 grep -q settings-reloaded "$OUT/daemon-$NEAR.1.log"
+for host in "$NEAR.1" "$NEAR.2" "$FAR.1"; do
+    setFault "$host:9001" '{"hang": true}'
+done
+callers=()
+for number in $(seq 40); do # there are 15 slots
+    curl -s -m 20 -o /dev/null -w '%{http_code}\n' "http://127.1.$NEAR.1:8080/sicil/records/$number" \
+        >"$OUT/status.$number" &
+    callers+=($!)
+done
+sleep 0.5
+kill -TERM "${DAEMON_PIDS[$NEAR.1]}"
+for pid in "${callers[@]}"; do
+    wait "$pid" || true
+done
+cut=$(cat "$OUT"/status.* | grep -c '^000$' || true)
+if [ "$cut" -ne 0 ]; then
+    echo "FAILED $TEST: $cut of 40 requests were cut off without an answer"
+    exit 1
+fi
+echo "passed $TEST"
