--- a/tests/process/stopwait_test.sh
+++ b/tests/process/stopwait_test.sh
@@ -3,7 +3,7 @@
 # grace time, and those whose upstream is at work. The grace time comes with a reload of the settings.
 TEST=stopwait BASE=55
 . "$(dirname "$0")/fixture.sh"
-startFleet sicil
+startFleet muhur
 settings="$OUT/node-$NEAR.1.json"
 sed -i 's/"log": "json"/"log": "json", "limits": {"stopGraceMs": 1500}/' "$settings"
 kill -HUP "${DAEMON_PIDS[$NEAR.1]}"
@@ -13,7 +13,7 @@
 done
 callers=()
 for number in $(seq 40); do # there are 15 slots
-    curl -s -m 20 -o /dev/null -w '%{http_code}\n' "http://127.1.$NEAR.1:8080/sicil/records/$number" \
+    curl -s -m 20 -X POST -d seal -o /dev/null -w '%{http_code}\n' "http://127.1.$NEAR.1:8080/muhur/orders/$number" \
         >"$OUT/status.$number" &
     callers+=($!)
 done
