--- a/packages/daemon/src/control/memberactor.cpp
+++ b/packages/daemon/src/control/memberactor.cpp
@@ -159,20 +159,21 @@
 
     bool watches() const
     {
-        return watchesPlatform(m_membership.members(), m_membership.self());
+        return watchesPlatform(m_view->members, m_view->self);
     }
 
 private:
-    /// One of the living removes the records of the dead: the first by rank in the data centre.
+    /// The watchers of each data centre remove the records of the dead; whoever comes second finds nothing to remove.
     void removeDead()
     {
         const Millis now = m_clock.now();
-        for (const Member &member : m_membership.members()) {
-            if (member.state != MemberState::Dead && member.state != MemberState::Left) {
+        const bool watching = watches();
+        for (const Member &member : m_view->members) {
+            if (takesRequests(member)) {
                 continue;
             }
             const auto since = m_deadSince.emplace(member.incarnation.low, now).first->second;
-            if (now - since > FORGET_AFTER && m_removed.insert(member.incarnation.low).second && watches()) {
+            if (watching && now - since > FORGET_AFTER && m_removed.insert(member.incarnation.low).second) {
                 m_output.removeRecord(member.node, member.incarnation);
             }
         }
@@ -241,7 +242,8 @@
         view->members = m_membership.members();
         view->upstreams = listUpstreams(view->members, m_membership.self());
         view->configured = m_configured && (!m_needsBundle || m_config->routeCount() > 0);
-        m_output.publish(view);
+        m_view = view;
+        m_output.publish(m_view);
     }
 
     bool m_needsBundle;
@@ -255,6 +257,7 @@
     MemberActorOutput m_output;
     ConfigBuilder m_builder;
     std::shared_ptr<const ConfigSnapshot> m_config; ///< null when objects have changed since it was built
+    std::shared_ptr<const FleetView> m_view = std::make_shared<FleetView>(); ///< the newest that was published
     std::set<std::string> m_ownCrashes;
     bool m_changed = true;
     bool m_configured = false;
--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -170,7 +170,7 @@
 {
     const std::string id = upstream.announced.id;
     const auto queue = upstream.queue;
-    switch (m_gate.turns.take(queue, {m_request.reserved ? 0 : 1, m_deadline}, remaining(), yield)) {
+    switch (m_gate.turns.take(queue, {1, m_deadline}, remaining(), yield)) {
     case Turn::Full:
         return answerNotRun(NotRunReason::Busy, "the upstream's queue is full", yield);
     case Turn::Expired:
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -178,7 +178,7 @@
 {
     // Not while an upstream that its gate trusts is merely full.
     const bool irreversible = m_request.workClass.kind == WorkKind::Irreversible;
-    return m_round >= MUST_SERVE_ROUND && !m_sawBusy && !(irreversible && m_shared.refusal == RefusalPolicy::Prompt);
+    return m_round >= MUST_SERVE_ROUND && !sawBusy() && !(irreversible && m_shared.refusal == RefusalPolicy::Prompt);
 }
 
 void Dispatch::refuse(const std::string &detail)
@@ -516,7 +516,6 @@
 
 void Dispatch::noteDenial(const wire::AnswerT &denial)
 {
-    m_sawBusy = m_sawBusy || denial.reason == wire::NotRunReason::Busy;
     if (denial.reason == wire::NotRunReason::Busy) {
         const Millis wait(denial.waitMs);
         m_leastWait = m_leastWait < Millis() ? wait : std::min(m_leastWait, wait);
@@ -692,7 +691,6 @@
     // Only its own gate can run an operation; opening one steers clear of suspects already.
     message.mustServe =
         !m_request.operation.empty() || m_shared.table.mustServe(m_request.service, ref.id, m_request.workClass.name);
-    message.reserved = !ref.id.empty();
     message.streamed = m_request.source != nullptr;
     message.bodyBytes = m_request.bodyBytes;
     if (!message.streamed) {
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -115,6 +115,11 @@
     /// Whether upstreams that their gates do not trust have to take the request.
     bool mustServe() const;
     void refuse(const std::string &detail);
+    /// Whether a gate of this round would take the request, but for its slots.
+    bool sawBusy() const
+    {
+        return m_leastWait >= Millis();
+    }
     bool hasStopped() const;
     /// Whether nothing more may be tried.
     bool isOver() const;
@@ -156,7 +161,6 @@
     std::set<std::string> m_sentTo; ///< the request itself was sent there
     int m_round = 0;
     int m_remoteAsks = 0;
-    bool m_sawBusy = false; ///< a gate would take the request, but for its slots
     Millis m_leastWait{-1}; ///< as the gates of this round estimate it; negative when none has said
     bool m_left = false;
     Millis m_startedAt;
