--- a/packages/daemon/src/gate/turnrequest.cpp
+++ b/packages/daemon/src/gate/turnrequest.cpp
@@ -121,7 +121,7 @@
     wire::TurnT turn;
     turn.request = m_reserve.request;
     turn.state = state;
-    m_channel.send(packMessage(std::move(turn)), SEND_TIMEOUT, yield);
+    m_channel.send(packMessage(turn), SEND_TIMEOUT, yield);
 }
 
 void TurnRequest::deny(const Denial &denial, const Yield &yield)
