Log where a configuration came from, who watches the store, and how many gates refused a request

Callers on the grown sites saw changes late (CONFIG) and refusals (SHORT); the log could not tell apart a lost push, a gap between two watchers and a wrong draw of a split. object-applied names its sender, watch-changed (E404) tells the duty to watch, request-refused and request-failed name the version in force, the gates asked and whether the request was a call.

--- a/packages/config/include/config/configsnapshot.h
+++ b/packages/config/include/config/configsnapshot.h
@@ -52,7 +52,10 @@
         return m_routeCount;
     }
     /// The highest version of any object in force; 0 without objects.
-    std::uint64_t newestVersion() const;
+    std::uint64_t newestVersion() const
+    {
+        return m_newestVersion;
+    }
     /// The version in force of each object, by "kind/name".
     const std::unordered_map<std::string, std::uint64_t> &versions() const
     {
@@ -72,6 +75,7 @@
     std::vector<ApprovedRefusal> m_refusals;
     std::unordered_map<std::string, std::uint64_t> m_versions;
     std::size_t m_routeCount = 0;
+    std::uint64_t m_newestVersion = 0;
 };
 
 /// Receives what a table holds that cannot be used, and why.
--- a/packages/config/src/configsnapshot.cpp
+++ b/packages/config/src/configsnapshot.cpp
@@ -176,21 +176,15 @@
     }
 }
 
-std::uint64_t ConfigSnapshot::newestVersion() const
-{
-    std::uint64_t newest = 0;
-    for (const auto &[object, version] : m_versions) {
-        newest = std::max(newest, version);
-    }
-    return newest;
-}
-
 std::shared_ptr<const ConfigSnapshot> ConfigBuilder::build() const
 {
     auto snapshot = std::make_shared<ConfigSnapshot>();
     snapshot->m_services = m_services;
     snapshot->m_workClasses = m_workClasses;
     snapshot->m_versions = m_versions;
+    for (const auto &[object, version] : m_versions) {
+        snapshot->m_newestVersion = std::max(snapshot->m_newestVersion, version);
+    }
     snapshot->m_callerLimits = m_callerLimits;
     for (const auto &[name, route] : m_routes) {
         snapshot->m_routes[routeKey(route.host, route.prefix)].push_back(route);
--- a/packages/daemon/src/control/memberactor.cpp
+++ b/packages/daemon/src/control/memberactor.cpp
@@ -20,6 +20,7 @@
 constexpr Millis LONGEST_SLEEP{5000};
 constexpr Millis FORGET_AFTER{10000}; ///< a dead daemon's record in the store is removed then
 constexpr std::size_t WATCHERS = 2;
+constexpr const char FROM_STORE[] = "store";
 
 Event eventOf(MemberState state)
 {
@@ -107,6 +108,7 @@
             return std::nullopt;
         }
         m_lastDuty = now;
+        logEvent(Event::WatchChanged, {{"watches", now}});
         return now;
     }
 
@@ -118,7 +120,7 @@
             // What came before the bad part holds; comparisons of digests mend the rest.
             logEvent(Event::PeerRejected, {{"peer", message.from}, {"cause", error.what()}});
         }
-        publishChanges();
+        publishChanges(message.from);
     }
 
     void setUpstreams(std::vector<UpstreamInfo> upstreams)
@@ -154,7 +156,7 @@
         m_membership.setSeeds(m_seeds);
         m_configured = true;
         m_changed = true;
-        publishChanges();
+        publishChanges(FROM_STORE);
     }
 
     bool watches() const
@@ -212,7 +214,8 @@
         }
     }
 
-    void publishChanges()
+    /// @param from who told of the objects that have changed
+    void publishChanges(const std::string &from = {})
     {
         for (const MemberChange &change : m_membership.takeMemberChanges()) {
             logEvent(eventOf(change.state), {{"member", change.node}});
@@ -224,7 +227,8 @@
                 continue;
             }
             m_builder.take(object);
-            logEvent(Event::ObjectApplied, {{"kind", object.kind}, {"name", object.name}, {"version", object.version}});
+            logEvent(Event::ObjectApplied,
+                     {{"kind", object.kind}, {"name", object.name}, {"version", object.version}, {"from", from}});
             m_changed = true;
             m_configured = true;
             m_config = nullptr;
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -416,18 +416,21 @@
     if (own.reason == NotRunReason::Quarantined) {
         own.retryAfter = QUARANTINE_RETRY;
     }
-    logOwn(request, own, result.upstream, startedAt);
+    logOwn(request, own, result, startedAt);
     replyOwn(m_router.dialect().statusOf(own), own, yield);
 }
 
-void CallerSession::logOwn(const CallerRequest &request, const RouterAnswer &answer, const std::string &upstream,
+void CallerSession::logOwn(const CallerRequest &request, const RouterAnswer &answer, const DispatchResult &result,
                            Millis startedAt)
 {
     logEvent(answer.outcome == Outcome::NotRun ? Event::RequestRefused : Event::RequestFailed,
              {{"request", request.id},
               {"service", request.service},
               {"class", request.workClass.name},
-              {"upstream", upstream},
+              {"inner", request.inner},
+              {"upstream", result.upstream},
+              {"asked", result.asked},
+              {"config", m_router.view().config->newestVersion()},
               {"reason", nameOf(NOT_RUN_REASON_NAMES, answer.reason)},
               {"detail", answer.detail},
               {"afterMs", (m_router.clock().now() - startedAt).value},
--- a/packages/daemon/src/router/callersession.h
+++ b/packages/daemon/src/router/callersession.h
@@ -55,8 +55,7 @@
     CallerBody bodyReader();
     void replyProblem(http::status status, const std::string &detail, const Yield &yield);
     void replyOwn(http::status status, const RouterAnswer &answer, const Yield &yield);
-    /// @param upstream where the request was sent last; empty if nowhere
-    void logOwn(const CallerRequest &request, const RouterAnswer &answer, const std::string &upstream,
+    void logOwn(const CallerRequest &request, const RouterAnswer &answer, const DispatchResult &result,
                 Millis startedAt);
     /// Tells the dispatch when the caller closes its connection.
     void watchCaller(const CallerRequest &request, Dispatch &dispatch);
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -421,6 +421,7 @@
 Dispatch::Attempt Dispatch::attemptOnce(const UpstreamRef &ref, bool freshChannel, const Yield &yield)
 {
     Attempt attempt;
+    ++m_result.asked;
     AttemptStart start;
     start.attempt = ++m_shared.nextRequest;
     start.upstream = ref.id;
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -45,6 +45,7 @@
     bool retried = false;
     Distance distance = Distance::SameDataCentre; ///< of the upstream that answered
     bool held = false;
+    int asked = 0; ///< gates that were asked
     bool timedOut = false; ///< the time for the answer has run out
     Millis retryAfter; ///< when a request that has not run may come again
 };
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -34,6 +34,7 @@
     ObjectInvalid = 401,
     StoreUnreachable = 402,
     StoreReachable = 403,
+    WatchChanged = 404,
     RefusalRequested = 500,
     PeerRejected = 600,
     CallerRejected = 601,
@@ -49,7 +50,7 @@
     ReadyChanged = 105,
 };
 
-constexpr EnumTable<Event, 37> EVENT_NAMES = {{
+constexpr EnumTable<Event, 38> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -72,6 +73,7 @@
     {Event::ObjectInvalid, "object-invalid"},
     {Event::StoreUnreachable, "store-unreachable"},
     {Event::StoreReachable, "store-reachable"},
+    {Event::WatchChanged, "watch-changed"},
     {Event::RefusalRequested, "refusal-requested"},
     {Event::PeerRejected, "peer-rejected"},
     {Event::CallerRejected, "caller-rejected"},
