Push a new configuration to the whole data centre, not to its first eight members

Cause: the push used the rumours' counter, which counts each message as a sending and drops an update after eight. So a watcher of the platform reached eight members, however many there are: all five peers of a small site, half of the 14 to 17 of a grown one. Messages to other data centres, which may not carry a large object, counted as its sendings, too.

Fix: a push goes to every member of the data centre, apart from the rumours and without counting as one; a message that may not carry an update does not count as a sending of it.

MembershipPushTest.AnObjectFromThePlatformIsSentToEveryMemberOfALargeDataCentre failed before: 9 of 20 had the object. RumoursTest.AMessageThatCannotCarryAnUpdateDoesNotCountAsASending is new with the argument that it tests.

--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -115,6 +115,8 @@
     std::string nextToProbe();
     std::vector<std::string> helpersFor(const Member &target);
     void followProbe(Millis now, std::vector<OutgoingGossip> &out);
+    /// Sends objects that are new from the platform to the whole data centre.
+    void pushObjects(std::vector<OutgoingGossip> &out);
     void spread(std::vector<OutgoingGossip> &out);
     void compare(std::vector<OutgoingGossip> &out);
     std::string peerAddress();
@@ -151,7 +153,7 @@
     std::vector<MemberChange> m_memberChanges;
     std::vector<StoredObject> m_objectChanges;
     bool m_synced = false;
-    bool m_pushObjects = false; ///< to all of the data centre, with the next rumours
+    std::vector<std::string> m_unpushed; ///< objects from the platform that the data centre has to be sent
 };
 
 } // namespace mustardpond
--- a/packages/membership/include/membership/rumours.h
+++ b/packages/membership/include/membership/rumours.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -16,7 +17,9 @@
     void add(const std::string &key);
     /// Takes up to the given number of keys and counts the sending of each.
     /// @param sendings how often each update is sent before it is dropped
-    std::vector<std::string> take(std::size_t limit, int sendings);
+    /// @param maySend whether the message may carry the update; one that it may not is neither taken nor counted
+    std::vector<std::string> take(std::size_t limit, int sendings,
+                                  const std::function<bool(const std::string &)> &maySend);
     bool empty() const
     {
         return m_sent.empty();
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -68,8 +68,7 @@
     if (!applyObject(object)) {
         return false;
     }
-    m_pushObjects = true;
-    m_nextRumour = Millis();
+    m_unpushed.push_back(ObjectTable::keyOf(object.kind, object.name));
     return true;
 }
 
@@ -96,6 +95,7 @@
             probe(now, out);
         }
     }
+    pushObjects(out);
     if (now >= m_nextRumour) {
         m_nextRumour = now + m_times.rumourPeriod;
         spread(out);
@@ -109,6 +109,9 @@
 
 Millis Membership::nextDue() const
 {
+    if (!m_unpushed.empty()) {
+        return Millis();
+    }
     Millis due = std::min(m_nextProbe, m_nextCompare);
     if (!m_memberRumours.empty() || !m_objectRumours.empty()) {
         due = std::min(due, m_nextRumour);
@@ -346,14 +349,27 @@
     m_probe.reset();
 }
 
+void Membership::pushObjects(std::vector<OutgoingGossip> &out)
+{
+    if (m_unpushed.empty()) {
+        return;
+    }
+    for (const std::string &key : randomPeers(peers(true), PUSHED_TO)) {
+        wire::GossipT message = newMessage();
+        for (const std::string &object : m_unpushed) {
+            message.objects.push_back(std::make_unique<wire::ObjectRecordT>(m_packed.record(*m_objects.byKey(object))));
+        }
+        out.push_back({m_known[key].member.inner, std::move(message)});
+    }
+    m_unpushed.clear();
+}
+
 void Membership::spread(std::vector<OutgoingGossip> &out)
 {
     if (m_memberRumours.empty() && m_objectRumours.empty()) {
         return;
     }
-    const std::size_t fanout = m_pushObjects ? PUSHED_TO : RUMOUR_FANOUT;
-    m_pushObjects = false;
-    auto targets = randomPeers(peers(true), fanout);
+    auto targets = randomPeers(peers(true), RUMOUR_FANOUT);
     if (targets.size() < RUMOUR_FANOUT || m_random.below(REMOTE_RUMOUR_EVERY) == 0) {
         const auto remote = randomPeers(peers(false), 1);
         targets.insert(targets.end(), remote.begin(), remote.end());
@@ -495,16 +511,22 @@
 
 void Membership::attachRumours(wire::GossipT &message, bool local)
 {
-    for (const std::string &key : m_memberRumours.take(RUMOURS_PER_MESSAGE, SENDINGS)) {
+    const auto any = [](const std::string &) { return true; };
+    for (const std::string &key : m_memberRumours.take(RUMOURS_PER_MESSAGE, SENDINGS, any)) {
         const auto found = m_known.find(key);
         if (found != m_known.end()) {
             message.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(found->second.member)));
         }
     }
-    for (const std::string &key : m_objectRumours.take(RUMOURS_PER_MESSAGE, SENDINGS)) {
-        const StoredObject *object = m_objects.byKey(key);
-        if (object && (local || object->value.size() <= REMOTE_OBJECT_BYTES)) {
-            message.objects.push_back(std::make_unique<wire::ObjectRecordT>(m_packed.record(*object)));
+    const auto carries = [this, local](const std::string &key) {
+        return local || m_objects.byKey(key)->value.size() <= REMOTE_OBJECT_BYTES;
+    };
+    // With no peer in the data centre, a large object would stay a rumour for ever.
+    const bool alone = !local && peers(true).empty();
+    const auto counts = [&carries, alone](const std::string &key) { return alone || carries(key); };
+    for (const std::string &key : m_objectRumours.take(RUMOURS_PER_MESSAGE, SENDINGS, counts)) {
+        if (carries(key)) {
+            message.objects.push_back(std::make_unique<wire::ObjectRecordT>(m_packed.record(*m_objects.byKey(key))));
         }
     }
 }
--- a/packages/membership/src/rumours.cpp
+++ b/packages/membership/src/rumours.cpp
@@ -9,7 +9,8 @@
     m_sent[key] = 0;
 }
 
-std::vector<std::string> Rumours::take(std::size_t limit, int sendings)
+std::vector<std::string> Rumours::take(std::size_t limit, int sendings,
+                                       const std::function<bool(const std::string &)> &maySend)
 {
     struct Entry {
         int sent;
@@ -18,7 +19,9 @@
     std::vector<Entry> entries;
     entries.reserve(m_sent.size());
     for (const auto &[key, sent] : m_sent) {
-        entries.push_back({sent, key});
+        if (maySend(key)) {
+            entries.push_back({sent, key});
+        }
     }
     std::stable_sort(entries.begin(), entries.end(), [](const Entry &a, const Entry &b) { return a.sent < b.sent; });
     entries.resize(std::min(entries.size(), limit));
--- a/packages/membership/test/membership_test.cpp
+++ b/packages/membership/test/membership_test.cpp
@@ -23,6 +23,15 @@
     return member.objects().version("class", "lookup") == version;
 }
 
+std::size_t countWithVersion(FakeFleet &fleet, std::uint64_t version)
+{
+    std::size_t count = 0;
+    for (const auto &[address, member] : fleet.members()) {
+        count += hasVersion(*member, version) ? 1 : 0;
+    }
+    return count;
+}
+
 class MembershipTest : public ::testing::Test
 {
 protected:
@@ -49,6 +58,16 @@
     EXPECT_TRUE(m_fleet.at(fresh).hasSynced());
 }
 
+TEST(MembershipPushTest, AnObjectFromThePlatformIsSentToEveryMemberOfALargeDataCentre)
+{
+    FakeFleet fleet(1, 20, 7);
+    ASSERT_TRUE(fleet.runUntil([](Membership &m) { return aliveAt(m) == 20; }, LONG));
+    fleet.run(Millis(20000));
+    fleet.at("a0").takeObject(object(5));
+    fleet.run(Millis(100)); // one step to send, one to arrive
+    EXPECT_EQ(countWithVersion(fleet, 5), 20U);
+}
+
 TEST_F(MembershipTest, StoppedMemberIsDeclaredDeadAndItsSuccessorIsANewOne)
 {
     awaitAlive(12);
--- /dev/null
+++ b/packages/membership/test/rumours_test.cpp
@@ -0,0 +1,37 @@
+#include "membership/rumours.h"
+
+#include <gtest/gtest.h>
+
+namespace mustardpond {
+
+namespace {
+
+using Keys = std::vector<std::string>;
+
+bool any(const std::string & /*key*/)
+{
+    return true;
+}
+
+TEST(RumoursTest, EachIsSentSoOftenAndNoMore)
+{
+    Rumours rumours;
+    rumours.add("a");
+    EXPECT_EQ(rumours.take(5, 2, any), Keys{"a"});
+    EXPECT_EQ(rumours.take(5, 2, any), Keys{"a"});
+    EXPECT_TRUE(rumours.empty());
+}
+
+TEST(RumoursTest, AMessageThatCannotCarryAnUpdateDoesNotCountAsASending)
+{
+    Rumours rumours;
+    rumours.add("large");
+    rumours.add("small");
+    const auto isSmall = [](const std::string &key) { return key == "small"; };
+    EXPECT_EQ(rumours.take(5, 1, isSmall), Keys{"small"});
+    EXPECT_EQ(rumours.take(5, 1, any), Keys{"large"});
+}
+
+} // namespace
+
+} // namespace mustardpond
