Bind a farewell to the start of the upstream that the gate's peers remember

Cause: the gate's process was restarted (24.67 to 25.20 s); the upstream's farewell, which names only the id, reached the new process, which knew neither its birth nor its sequence. A heartbeat from before, which came at 29.135 s, four seconds late, then looked like a new start: any birth is later than none. Ruled out: routers that kept to an old view (the gate itself announced the upstream as ready again, E200 at 29.135 s with sequence 16).

Fix: a farewell to a gate that knows nothing takes birth and sequence from what peers or the store remember of that upstream, whichever comes first.

UpstreamRegistryTest.ALateAnnouncementDoesNotUndoAFarewellToAFreshGate and ...ThatCameBeforePeersWereAsked failed before.

--- a/packages/daemon/src/gate/upstreamregistry.cpp
+++ b/packages/daemon/src/gate/upstreamregistry.cpp
@@ -36,6 +36,21 @@
     return state == UpstreamState::Draining || state == UpstreamState::Gone;
 }
 
+/// Whether nothing is known of an upstream but that it has left.
+bool isBareFarewell(const Announcement &announcement)
+{
+    return announcement.state == UpstreamState::Gone && announcement.born == 0;
+}
+
+/// Tells a farewell, which names nothing but the id, which start it was of.
+void complete(Announcement &farewell, const UpstreamInfo &known)
+{
+    farewell.service = known.service;
+    farewell.slots = known.slots;
+    farewell.born = known.born;
+    farewell.sequence = known.sequence;
+}
+
 /// Whether an announcement is older than what is known of the same id.
 bool isOlder(const Announcement &announcement, std::uint64_t born, std::uint64_t sequence, UpstreamState state)
 {
@@ -86,8 +101,13 @@
     if (found == m_upstreams.end()) {
         const auto waiting = announcement.slots * m_waitingPerSlot;
         auto queue = std::make_shared<SlotQueue>(announcement.slots, waiting);
-        m_upstreams[announcement.id] = {announcement, now, now + announcement.cold, std::move(queue)};
-        logAnnouncement(announcement);
+        LocalUpstream &fresh = m_upstreams[announcement.id];
+        fresh = {announcement, now, now + announcement.cold, std::move(queue)};
+        const auto recalled = m_recalled.find(announcement.id);
+        if (recalled != m_recalled.end() && isBareFarewell(announcement)) {
+            complete(fresh.announced, recalled->second);
+        }
+        logAnnouncement(fresh.announced);
         publish();
         return AnnounceResult::Changed;
     }
@@ -137,6 +157,10 @@
     }
     m_recalled[info.id] = info;
     const auto found = m_upstreams.find(info.id);
+    if (found != m_upstreams.end() && isBareFarewell(found->second.announced)) {
+        complete(found->second.announced, info);
+        return publish();
+    }
     const bool binds = found != m_upstreams.end() && leaves(info.state) && found->second.announced.born == info.born
         && found->second.announced.state < info.state;
     if (binds) {
--- a/packages/daemon/test/upstreamregistry_test.cpp
+++ b/packages/daemon/test/upstreamregistry_test.cpp
@@ -22,6 +22,13 @@
         announcement.born = born;
         return announcement;
     }
+    static Announcement farewell(const std::string &id)
+    {
+        Announcement announcement;
+        announcement.id = id;
+        announcement.state = UpstreamState::Gone;
+        return announcement;
+    }
     AnnounceResult announce(const Announcement &announcement)
     {
         return m_registry.announce(announcement, Millis(1));
@@ -63,10 +70,7 @@
 TEST_F(UpstreamRegistryTest, AFarewellNeedsNoMoreThanTheId)
 {
     announce(beat("a", UpstreamState::Ready, 3));
-    Announcement farewell;
-    farewell.id = "a";
-    farewell.state = UpstreamState::Gone;
-    EXPECT_EQ(announce(farewell), AnnounceResult::Changed);
+    EXPECT_EQ(announce(farewell("a")), AnnounceResult::Changed);
     EXPECT_EQ(stateOf("a"), UpstreamState::Gone);
     EXPECT_EQ(m_registry.find("a")->announced.service, "sicil");
 }
@@ -85,6 +89,25 @@
     EXPECT_EQ(stateOf("a"), UpstreamState::Draining);
 }
 
+TEST_F(UpstreamRegistryTest, ALateAnnouncementDoesNotUndoAFarewellToAFreshGate)
+{
+    const UpstreamInfo remembered{"a", "sicil", UpstreamState::Ready, 5, 100, 6};
+    m_registry.recall(remembered);
+    EXPECT_EQ(announce(farewell("a")), AnnounceResult::Changed);
+    EXPECT_EQ(announce(beat("a", UpstreamState::Ready, 7)), AnnounceResult::Late);
+    EXPECT_EQ(stateOf("a"), UpstreamState::Gone);
+    EXPECT_EQ(announce(beat("a", UpstreamState::Ready, 1, 200)), AnnounceResult::Changed) << "a new start";
+}
+
+TEST_F(UpstreamRegistryTest, ALateAnnouncementDoesNotUndoAFarewellThatCameBeforePeersWereAsked)
+{
+    announce(farewell("a"));
+    m_registry.recall({"a", "sicil", UpstreamState::Ready, 5, 100, 6});
+    EXPECT_EQ(announce(beat("a", UpstreamState::Ready, 7)), AnnounceResult::Late);
+    EXPECT_EQ(stateOf("a"), UpstreamState::Gone);
+    EXPECT_EQ(m_registry.infos().front().born, 100U);
+}
+
 TEST_F(UpstreamRegistryTest, PassesOnWhatItRecallsOfLeavings)
 {
     m_registry.recall({"a", "sicil", UpstreamState::Ready, 5, 100, 6});
