Remove records of dead daemons from one data centre, and not while the store is out

The store answers calls beyond its rate with 429, also those that fetch a configuration, so this can make CONFIG.

Cause: during an outage no member sees the platform, so each took itself for a watcher; each then removed the record of every member that had died 10 s before, and tried each removal 25 times at 0.4 s. From 18 to 26 s 111 daemons logged 17,539 failed calls, up to 362 a daemon. In calm times the watchers of all data centres removed each record. The daemon's own view was not renewed when it lost the platform, either.

Ruled out: watches that answer at once (the calls between outages are 2 to 5 a second), registrations (each daemon one).

Fix: a pure rule (platformduties): only a member that the store answers removes a record, and only in the data centre of the dead member, or any if nobody there is left. A failed removal is tried again after twice the pause, eight times.

PlatformDutiesTest tests the rule, which had no function of its own before; with the old rule 12 members would remove a record, and all 89 during an outage.

--- a/packages/daemon/src/control/controlmessages.h
+++ b/packages/daemon/src/control/controlmessages.h
@@ -52,6 +52,7 @@
 struct RemovalWanted {
     std::string node;
     Incarnation incarnation;
+    int tries = 0;
 };
 
 struct RefusalWanted {
--- a/packages/daemon/src/control/controlplane.cpp
+++ b/packages/daemon/src/control/controlplane.cpp
@@ -88,7 +88,7 @@
         asio::post(actors->context, [handler = actors->onCrash, fingerprint] { handler(fingerprint); });
     };
     output.removeRecord = [actors = m_actors.get()](const std::string &node, Incarnation incarnation) {
-        caf::anon_send(actors->records, RemovalWanted{node, incarnation});
+        caf::anon_send(actors->records, RemovalWanted{node, incarnation, 0});
     };
     m_actors->members = m_actors->system.spawn(memberActor, m_actors->settings, m_actors->incarnation, output);
     const StoreActorInput input{m_actors->settings, m_actors->incarnation, m_actors->openStore, m_actors->members,
--- a/packages/daemon/src/control/memberactor.cpp
+++ b/packages/daemon/src/control/memberactor.cpp
@@ -1,10 +1,11 @@
 #include "memberactor.h"
 
+#include "platformduties.h"
+
 #include "foundation/errors.h"
 #include "foundation/events.h"
 
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
 #include <chrono>
@@ -19,7 +20,6 @@
 constexpr Millis LEAST_SLEEP{2};
 constexpr Millis LONGEST_SLEEP{5000};
 constexpr Millis FORGET_AFTER{10000}; ///< a dead daemon's record in the store is removed then
-constexpr std::size_t WATCHERS = 2;
 constexpr const char FROM_STORE[] = "store";
 
 Event eventOf(MemberState state)
@@ -37,11 +37,6 @@
     return Event::MemberJoined;
 }
 
-std::uint64_t rank(const Member &member)
-{
-    return XXH64(member.node.data(), member.node.size(), member.incarnation.low);
-}
-
 Member selfFrom(const DaemonSettings &settings, Incarnation incarnation)
 {
     Member self;
@@ -97,6 +92,7 @@
     void setSeesPlatform(bool sees)
     {
         m_membership.setSeesPlatform(sees);
+        m_changed = true;
         publishChanges();
     }
 
@@ -165,17 +161,18 @@
     }
 
 private:
-    /// The watchers of each data centre remove the records of the dead; whoever comes second finds nothing to remove.
     void removeDead()
     {
         const Millis now = m_clock.now();
-        const bool watching = watches();
         for (const Member &member : m_view->members) {
             if (takesRequests(member)) {
                 continue;
             }
-            const auto since = m_deadSince.emplace(member.incarnation.low, now).first->second;
-            if (watching && now - since > FORGET_AFTER && m_removed.insert(member.incarnation.low).second) {
+            const std::uint64_t start = member.incarnation.low;
+            const Millis since = m_deadSince.emplace(start, now).first->second;
+            const bool due = now - since > FORGET_AFTER && m_removed.count(start) == 0;
+            if (due && removesRecordOf(member, m_view->members, m_view->self)) {
+                m_removed.insert(start);
                 m_output.removeRecord(member.node, member.incarnation);
             }
         }
@@ -269,16 +266,6 @@
 
 } // namespace
 
-bool watchesPlatform(const std::vector<Member> &members, const Member &self)
-{
-    std::size_t higher = 0;
-    for (const Member &member : members) {
-        const bool rival = member.dataCentre == self.dataCentre && takesRequests(member) && member.seesPlatform;
-        higher += rival && rank(member) > rank(self) ? 1 : 0;
-    }
-    return higher < WATCHERS;
-}
-
 caf::behavior memberActor(caf::event_based_actor *self, const DaemonSettings &settings, Incarnation incarnation,
                           const MemberActorOutput &output)
 {
--- a/packages/daemon/src/control/memberactor.h
+++ b/packages/daemon/src/control/memberactor.h
@@ -22,7 +22,4 @@
 caf::behavior memberActor(caf::event_based_actor *self, const DaemonSettings &settings, Incarnation incarnation,
                           const MemberActorOutput &output);
 
-/// The members that watch the platform for their data centre: the two highest by rendezvous hashing.
-bool watchesPlatform(const std::vector<Member> &members, const Member &self);
-
 } // namespace mustardpond
--- a/packages/daemon/src/control/recordactor.cpp
+++ b/packages/daemon/src/control/recordactor.cpp
@@ -6,12 +6,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
+
 namespace mustardpond {
 
 namespace {
 
 constexpr Millis RETRY_PAUSE{400};
 constexpr int MOST_TRIES = 25;
+constexpr int MOST_REMOVAL_TRIES = 8; ///< each after twice the pause of the one before
 
 class RecordKeeper
 {
@@ -80,9 +83,9 @@
     std::unique_ptr<ObjectStore> m_store;
 };
 
-std::chrono::milliseconds retryPause()
+std::chrono::milliseconds retryPause(double factor = 1)
 {
-    return std::chrono::milliseconds(static_cast<std::int64_t>(RETRY_PAUSE.value));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(RETRY_PAUSE.value * factor));
 }
 
 } // namespace
@@ -91,7 +94,6 @@
 {
     auto keeper = std::make_shared<RecordKeeper>(input);
     auto newest = std::make_shared<std::uint64_t>(0);
-    auto tries = std::make_shared<std::map<std::string, int>>();
     return {
         [keeper, newest, self](RecordWanted wanted) {
             if (wanted.number < *newest) {
@@ -105,9 +107,13 @@
                 self->delayed_send(self, retryPause(), wanted);
             }
         },
-        [keeper, tries, self](const RemovalWanted &wanted) {
-            if (!keeper->remove(wanted.node, wanted.incarnation) && ++(*tries)[wanted.node] < MOST_TRIES) {
-                self->delayed_send(self, retryPause(), wanted);
+        [keeper, self](RemovalWanted wanted) {
+            if (keeper->remove(wanted.node, wanted.incarnation)) {
+                return;
+            }
+            const auto pause = retryPause(std::pow(2, wanted.tries));
+            if (++wanted.tries < MOST_REMOVAL_TRIES) {
+                self->delayed_send(self, pause, wanted);
             }
         },
     };
--- /dev/null
+++ b/packages/daemon/test/platformduties_test.cpp
@@ -0,0 +1,75 @@
+#include "control/platformduties.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace mustardpond {
+
+namespace {
+
+std::vector<Member> fleet(std::size_t dataCentres, std::size_t perDataCentre)
+{
+    std::vector<Member> members;
+    for (std::size_t index = 0; index < dataCentres * perDataCentre; ++index) {
+        Member member;
+        member.node = "n" + std::to_string(index);
+        member.incarnation = {1, index + 1};
+        member.dataCentre = "dc" + std::to_string(index / perDataCentre);
+        members.push_back(member);
+    }
+    return members;
+}
+
+std::vector<std::string> removersOf(const Member &dead, const std::vector<Member> &members)
+{
+    std::vector<std::string> dataCentres;
+    for (const Member &member : members) {
+        if (takesRequests(member) && removesRecordOf(dead, members, member)) {
+            dataCentres.push_back(member.dataCentre);
+        }
+    }
+    return dataCentres;
+}
+
+void setSeesPlatform(std::vector<Member> &members, bool sees)
+{
+    for (Member &member : members) {
+        member.seesPlatform = sees;
+    }
+}
+
+TEST(PlatformDutiesTest, TwoMembersOfEachDataCentreWatch)
+{
+    const auto members = fleet(3, 5);
+    const auto watchers = std::count_if(members.begin(), members.end(),
+                                        [&members](const Member &member) { return watchesPlatform(members, member); });
+    EXPECT_EQ(watchers, 6);
+}
+
+TEST(PlatformDutiesTest, WatchersOfItsDataCentreRemoveTheRecordOfADeadMember)
+{
+    auto members = fleet(6, 15);
+    members[20].state = MemberState::Dead;
+    EXPECT_EQ(removersOf(members[20], members), (std::vector<std::string>{"dc1", "dc1"}));
+}
+
+TEST(PlatformDutiesTest, NobodyRemovesRecordsDuringAnOutageOfTheStore)
+{
+    auto members = fleet(6, 15);
+    members[20].state = MemberState::Dead;
+    setSeesPlatform(members, false);
+    EXPECT_TRUE(removersOf(members[20], members).empty());
+}
+
+TEST(PlatformDutiesTest, OtherDataCentresRemoveTheRecordsOfOneThatIsLost)
+{
+    auto members = fleet(3, 2);
+    members[0].state = MemberState::Dead;
+    members[1].state = MemberState::Dead;
+    EXPECT_EQ(removersOf(members[0], members), (std::vector<std::string>{"dc1", "dc1", "dc2", "dc2"}));
+}
+
+} // namespace
+
+} // namespace mustardpond
