Try a sick upstream each second, however often it has failed

Cause: after four failures in a row a gate paused 1.6 s before it let a request try its upstream again. Ruled out: an empty retry budget, which would forbid trials (they went on); routers that avoid the upstream (each got 3 to 20 asks a second).

Fix: the pause is 0.8 s at most. UpstreamTrustTest.ASickUpstreamIsTriedEachSecondHoweverOftenItHasFailed failed before.

--- a/packages/decision/src/upstreamtrust.cpp
+++ b/packages/decision/src/upstreamtrust.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Millis TRIAL_PAUSE{400}; ///< after the second failure in a row; grows with each further one
-constexpr Millis LONGEST_TRIAL_PAUSE{1600};
+constexpr Millis LONGEST_TRIAL_PAUSE{800};
 constexpr Millis UNTRIED_LIMIT{5000}; ///< without any trial, doubts end after this time
 constexpr Millis ERROR_WINDOW{4000};
 constexpr std::size_t LEAST_ERRORS = 3; ///< error answers within the window that count as one broken connection
--- a/packages/decision/test/upstreamtrust_test.cpp
+++ b/packages/decision/test/upstreamtrust_test.cpp
@@ -83,6 +83,14 @@
     EXPECT_EQ(trustAfter(Millis(1)), Trust::Failing);
 }
 
+TEST_F(UpstreamTrustTest, ASickUpstreamIsTriedEachSecondHoweverOftenItHasFailed)
+{
+    for (int i = 0; i < 20; ++i) {
+        run(AttemptResult::Failed, true);
+    }
+    EXPECT_EQ(trustAfter(Millis(1000)), Trust::Doubtful);
+}
+
 TEST_F(UpstreamTrustTest, DoubtsEndWhenNothingTriesTheUpstream)
 {
     run(AttemptResult::Failed, true);
