Spread requests before any run time is known

It can follow each start of a daemon.

Cause: the expected time at an upstream is its usual run time, enlarged by its load and by chance. Until a first run of the class has ended the run time is zero, so all upstreams of the data centre cost the same and each router chose the first in its list until that was full. Ruled out: doubted upstreams (nothing had failed yet).

Fix: an unknown run time counts as 100 ms. PlacementTest.SpreadsRequestsBeforeAnyRunTimeIsKnown failed before (all four requests at one of two upstreams).

--- a/packages/decision/src/placement.cpp
+++ b/packages/decision/src/placement.cpp
@@ -10,6 +10,7 @@
 constexpr Millis REMOTE_CHARGE{250}; ///< for leaving the region, whose links are slow and paid for by volume
 constexpr double LARGE_FACTOR = 5; ///< a large body is charged so many times
 constexpr double CROWDING = 0.3; ///< share of a run's time that a full upstream takes longer
+constexpr Millis UNKNOWN_RUN{100}; ///< while no run of the class has ended; without a time, all loads would cost the same
 constexpr double JITTER = 0.1; ///< so that routers that know the same do not all ask the same upstream
 
 Millis charge(Distance distance, bool large)
@@ -46,7 +47,8 @@
 
 Millis expectedTime(const PlacementCandidate &candidate, const PlacementNeeds &needs)
 {
-    const Millis run = candidate.typical > Millis() ? candidate.typical : needs.typical;
+    const Millis usual = needs.typical > Millis() ? needs.typical : UNKNOWN_RUN;
+    const Millis run = candidate.typical > Millis() ? candidate.typical : usual;
     const double slots = std::max(1.0, candidate.slots);
     const double ahead = std::max(0.0, candidate.load + 1 - slots);
     const double crowding = CROWDING * std::min(1.0, candidate.load / slots);
--- a/packages/decision/test/placement_test.cpp
+++ b/packages/decision/test/placement_test.cpp
@@ -39,6 +39,20 @@
     }
 }
 
+TEST_F(PlacementTest, SpreadsRequestsBeforeAnyRunTimeIsKnown)
+{
+    m_needs.typical = Millis();
+    std::vector<double> taken(2, 0);
+    for (int request = 0; request < 4; ++request) {
+        const std::size_t chosen = *place();
+        ASSERT_LT(chosen, 2U);
+        taken[chosen] += 1;
+        m_candidates[chosen].load += 1;
+    }
+    EXPECT_GE(taken[0], 1);
+    EXPECT_GE(taken[1], 1);
+}
+
 TEST_F(PlacementTest, LeavesTheDataCentreForAFreeSlot)
 {
     m_candidates[0].load = 5;
