End an answer whose bytes never end at the caller's deadline

A caller that does not close by itself got them for as long as it read, the upstream's slot stayed taken, and for an irreversible request so did the gate's connection.

Cause: each piece of an answer began the exchange's timeout anew, and after the deadline the timeout was one millisecond, which never passes while bytes are there. The router bounded each piece of a streamed answer by 30 s and the whole by nothing. A head was bounded already (8 KiB). The same holds for the body of an answer to another request, which a gate skips.

Fix: gate and router bound the exchange by its deadline (for irreversible work by the deadline and the grace for its answer), and the caller's connection is reset, so that the answer does not look whole.

--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -569,7 +569,13 @@
 
 Millis GateRun::patience() const
 {
-    return isIrreversible() ? remaining() + ANSWER_GRACE : remaining();
+    const Millis end = isIrreversible() ? m_deadline + ANSWER_GRACE : m_deadline;
+    const Millis left = end - m_gate.clock.now();
+    // Bytes that keep coming would outlast any timeout that begins anew with each piece.
+    if (left <= Millis()) {
+        throw boost::system::system_error(beast::error::timeout);
+    }
+    return left;
 }
 
 void GateRun::watchCaller(const std::shared_ptr<UpstreamExchange> &exchange)
--- a/packages/daemon/src/gate/gaterun.h
+++ b/packages/daemon/src/gate/gaterun.h
@@ -65,6 +65,7 @@
     }
     OperationBinding binding() const;
     Millis remaining() const;
+    /// Time left for the exchange with the upstream. Throws boost::system::system_error when there is none.
     Millis patience() const;
     void watchCaller(const std::shared_ptr<UpstreamExchange> &exchange);
 
--- a/packages/daemon/src/router/answerstream.cpp
+++ b/packages/daemon/src/router/answerstream.cpp
@@ -4,6 +4,8 @@
 
 #include "foundation/errors.h"
 
+#include <algorithm>
+
 namespace mustardpond {
 
 namespace {
@@ -11,6 +13,16 @@
 constexpr Millis WRITE_TIMEOUT{30000};
 constexpr Millis CHUNK_TIMEOUT{30000};
 
+Millis timeLeft(const StreamedAnswer &answer)
+{
+    const Millis left = answer.deadline - answer.clock.now();
+    // Pieces that keep coming would outlast any timeout that begins anew with each of them.
+    if (left <= Millis()) {
+        throw boost::system::system_error(beast::error::timeout);
+    }
+    return left;
+}
+
 using Serializer = http::response_serializer<http::buffer_body>;
 
 void writePiece(beast::tcp_stream &caller, http::response<http::buffer_body> &head, Serializer &serializer,
@@ -41,7 +53,8 @@
     digest.add(answer.start.data(), answer.start.size());
     writePiece(caller, head, serializer, answer.start, false, yield);
     for (bool last = false; !last;) {
-        auto chunk = answer.rest->receiveFor<wire::BodyChunkT>(answer.request, CHUNK_TIMEOUT, yield);
+        const Millis timeout = std::min(CHUNK_TIMEOUT, timeLeft(answer));
+        auto chunk = answer.rest->receiveFor<wire::BodyChunkT>(answer.request, timeout, yield);
         digest.add(chunk.body.data(), chunk.body.size());
         last = chunk.last;
         if (last && digest.value() != chunk.digest) {
--- a/packages/daemon/src/router/answerstream.h
+++ b/packages/daemon/src/router/answerstream.h
@@ -10,6 +10,8 @@
     std::uint64_t request = 0;
     std::vector<std::uint8_t> start; ///< the first bytes of the body
     FrameChannel *rest = nullptr; ///< where the following bytes come from
+    Millis deadline; ///< on the clock below; an answer that is not whole then is broken off
+    const Clock &clock;
 };
 
 /// Sends head and body. Throws boost::system::system_error or BadFrame when either side fails; the caller must then
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -496,7 +496,7 @@
     if (answer.streamed) {
         const RegionBytes count(m_router.metrics(), request.organisation, *result.channel,
                                 result.distance == Distance::OtherRegion);
-        return replyStreamed(result, response, yield);
+        return replyStreamed(result, response, request.deadline, yield);
     }
     const bool bodyless = answer.status == 204 || answer.status == 304;
     if (!isHead && !bodyless) {
@@ -510,7 +510,7 @@
     m_open = m_open && response.keep_alive();
 }
 
-void CallerSession::replyStreamed(DispatchResult &result, http::response<http::buffer_body> &response,
+void CallerSession::replyStreamed(DispatchResult &result, http::response<http::buffer_body> &response, Millis deadline,
                                   const Yield &yield)
 {
     const bool lengthKnown = response.has_content_length();
@@ -518,7 +518,8 @@
         response.chunked(true);
     }
     try {
-        StreamedAnswer answer{result.answer.request, std::move(result.answer.body), result.channel.get()};
+        StreamedAnswer answer{result.answer.request, std::move(result.answer.body), result.channel.get(), deadline,
+                              m_router.clock()};
         streamAnswer(m_stream, response, std::move(answer), yield);
         m_open = m_open && response.keep_alive() && (lengthKnown || response.chunked());
     } catch (const std::exception &) {
--- a/packages/daemon/src/router/callersession.h
+++ b/packages/daemon/src/router/callersession.h
@@ -49,7 +49,8 @@
     void takeHeaders(CallerRequest &request) const;
     void reply(const CallerRequest &request, DispatchResult result, Millis startedAt, const Yield &yield);
     void replyRan(const CallerRequest &request, DispatchResult &result, const Yield &yield);
-    void replyStreamed(DispatchResult &result, http::response<http::buffer_body> &response, const Yield &yield);
+    void replyStreamed(DispatchResult &result, http::response<http::buffer_body> &response, Millis deadline,
+                       const Yield &yield);
     /// Gives back what a large body needed; most connections are idle.
     void releaseBuffer();
     CallerBody bodyReader();
--- a/packages/testing/src/upstream_main.cpp
+++ b/packages/testing/src/upstream_main.cpp
@@ -22,6 +22,7 @@
 constexpr std::chrono::milliseconds ANNOUNCE_PERIOD{1000};
 constexpr Millis ANNOUNCE_TIMEOUT{800};
 constexpr Millis SILENCE{20000};
+constexpr std::size_t ENDLESS_PIECE_BYTES = 16384;
 constexpr Millis LATE_CRASH{10}; ///< from the end of the connection to that of the process
 
 struct Options {
@@ -39,6 +40,7 @@
     std::string onPath; ///< only requests whose path holds this text; empty for all
     bool hang = false;
     bool truncate = false;
+    std::string endless; ///< "head" or "body": the part of the answer that does not end
     std::uint64_t silentUpTo = 0; ///< connections up to this number are read and never answered
 };
 
@@ -47,6 +49,26 @@
     return std::to_string(XXH3_64bits(body.data(), body.size()));
 }
 
+/// Counts a run while it lasts, however it ends.
+class RunningCount
+{
+public:
+    explicit RunningCount(unsigned &running)
+        : m_running(running)
+    {
+        ++m_running;
+    }
+    ~RunningCount()
+    {
+        --m_running;
+    }
+    RunningCount(const RunningCount &) = delete;
+    RunningCount &operator=(const RunningCount &) = delete;
+
+private:
+    unsigned &m_running;
+};
+
 class Upstream
 {
 public:
@@ -64,7 +86,8 @@
             return setFault(request);
         }
         if (target.path == "/-/records") {
-            return jsonResponse(http::status::ok, nlohmann::json({{"runs", m_runs}, {"uploads", m_uploads}}).dump());
+            const nlohmann::json records = {{"runs", m_runs}, {"uploads", m_uploads}, {"running", m_running}};
+            return jsonResponse(http::status::ok, records.dump());
         }
         if (target.path == "/-/state") {
             m_state = request.body();
@@ -81,10 +104,8 @@
             shed.set(http::field::retry_after, "1");
             return shed;
         }
-        ++m_running;
-        Response response = run(request, target, socket, yield);
-        --m_running;
-        return response;
+        const RunningCount count(m_running);
+        return run(request, target, socket, yield);
     }
 
     std::string announcement() const
@@ -127,6 +148,9 @@
         if (faulty && m_fault.truncate) {
             truncate(response, socket, yield);
         }
+        if (faulty && !m_fault.endless.empty()) {
+            writeForever(socket, yield);
+        }
         return response;
     }
 
@@ -152,6 +176,17 @@
         throw NoAnswer();
     }
 
+    /// Ends with an exception, when the other end has closed the connection.
+    [[noreturn]] void writeForever(tcp::socket &socket, const Yield &yield)
+    {
+        const std::string start = m_fault.endless == "head" ? "HTTP/1.1 200 OK\r\nFiller: " : "HTTP/1.1 200 OK\r\n\r\n";
+        asio::async_write(socket, asio::buffer(start), yield);
+        const std::string piece(ENDLESS_PIECE_BYTES, 'x');
+        while (true) {
+            asio::async_write(socket, asio::buffer(piece), yield);
+        }
+    }
+
     Response setFault(const Request &request)
     {
         const auto document = nlohmann::json::parse(request.body());
@@ -160,6 +195,7 @@
         m_fault.onPath = document.value("onPath", "");
         m_fault.hang = document.value("hang", false);
         m_fault.truncate = document.value("truncate", false);
+        m_fault.endless = document.value("endless", "");
         m_fault.silentUpTo = document.value("silenceOpen", false) ? m_lastConnection : 0;
         return jsonResponse(http::status::ok, "{}");
     }
