Send nothing again to an upstream that leaves

Cause: a gate takes a kept connection for silent when no answer begins within six usual run times, and sends a request that may be repeated again, over a new connection. It did not look whether the upstream still takes work: the request was sent at 14.18 s, the leaving acknowledged at 18.10 s, the second sending at 21.52 s. Ruled out: a router that sent it anew (it came from the same gate, with one reservation).

Fix: a pure rule, mayResend, asks for an upstream that is ready. No test in processes: the own dialect's limit of silence is shorter than an announcement's period.

--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -5,6 +5,7 @@
 #include "httprules.h"
 #include "silencewatch.h"
 
+#include "decision/resend.h"
 #include "foundation/bytes.h"
 #include "foundation/errors.h"
 #include "foundation/events.h"
@@ -329,7 +330,9 @@
 
 bool GateRun::giveUpIfSilent()
 {
-    if (m_headReceived || m_exchange->isCancelled() || !m_gate.resends.takeRetry()) {
+    const LocalUpstream *upstream = m_gate.registry.find(m_servedBy);
+    const bool ready = upstream && upstream->announced.state == UpstreamState::Ready;
+    if (!mayResend({m_headReceived, m_exchange->isCancelled(), ready}) || !m_gate.resends.takeRetry()) {
         return false;
     }
     m_exchange->close();
