Publish nothing for a recalled upstream that names no start

What it would have done: in a gate that finds an upstream gone and without a birth takes its start from what peers remember, and publishes that. In the product's own dialect births are always 0, so after a restart of the daemon an upstream that is gone would have been published with each new view, each publication makes a new view, and so on without end. The platform's dialect is open to it only where a farewell that nobody remembered is recalled.

Fix: only a recalled start that is named completes a farewell; it is then no longer bare, so it is published once.

UpstreamRegistryTest.WhatIsRecalledWithoutAStartIsNotPublishedAgainAndAgain failed before: 3 publications for 3 views, expected none.

--- a/packages/daemon/src/gate/upstreamregistry.cpp
+++ b/packages/daemon/src/gate/upstreamregistry.cpp
@@ -157,7 +157,7 @@
     }
     m_recalled[info.id] = info;
     const auto found = m_upstreams.find(info.id);
-    if (found != m_upstreams.end() && isBareFarewell(found->second.announced)) {
+    if (found != m_upstreams.end() && info.born != 0 && isBareFarewell(found->second.announced)) {
         complete(found->second.announced, info);
         return publish();
     }
--- a/packages/daemon/test/upstreamregistry_test.cpp
+++ b/packages/daemon/test/upstreamregistry_test.cpp
@@ -108,6 +108,18 @@
     EXPECT_EQ(m_registry.infos().front().born, 100U);
 }
 
+TEST_F(UpstreamRegistryTest, WhatIsRecalledWithoutAStartIsNotPublishedAgainAndAgain)
+{
+    announce(farewell("a"));
+    int published = 0;
+    m_registry.onChange([&published](const std::vector<UpstreamInfo> & /*infos*/) { ++published; });
+    const UpstreamInfo nameless{"a", "sicil", UpstreamState::Gone, 5, 0, 0};
+    for (int view = 0; view < 3; ++view) {
+        m_registry.recall(nameless); // as with each new view of the fleet
+    }
+    EXPECT_EQ(published, 0);
+}
+
 TEST_F(UpstreamRegistryTest, PassesOnWhatItRecallsOfLeavings)
 {
     m_registry.recall({"a", "sicil", UpstreamState::Ready, 5, 100, 6});
