Let an odd entry among the store's objects or heartbeats cost only itself

An entry of the store nested 100,000 deep ended each daemon that listed it (segmentation fault: dump() recurses), and one number too large for a double, or invalid UTF-8, made the whole list unreadable, so that daemons never became ready. Long values were quoted whole, a heartbeat with invalid UTF-8 could not be answered or logged as text, one odd entry of a node record hid the others that leave, and a record with a port out of range became a seed. Change: lists are parsed leniently (deep values left out, too large numbers null, invalid UTF-8 replaced), entry by entry; other JSON is rejected beyond 64 levels; errors quote at most 200 bytes.

--- a/packages/config/src/objects.cpp
+++ b/packages/config/src/objects.cpp
@@ -1,5 +1,7 @@
 #include "config/objects.h"
 
+#include "config/daemonsettings.h"
+
 #include "foundation/fieldreader.h"
 
 #include <charconv>
@@ -156,7 +158,7 @@
     FieldReader reader(document, "");
     NodeObject node;
     node.name = object.name;
-    node.inner = reader.text("inner");
+    node.inner = toString(parseEndpoint(reader.text("inner"), "inner"));
     node.dataCentre = reader.text("dataCentre", "");
     return node;
 }
--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -173,7 +173,8 @@
     } catch (const Exception &error) {
         logEvent(Event::AnnouncementInvalid, {{"cause", error.what()}});
         response.result(http::status::bad_request);
-        response.body() = nlohmann::json({{"error", error.what()}}).dump();
+        response.body() =
+            nlohmann::json({{"error", error.what()}}).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
     return response;
 }
--- a/packages/daemon/src/control/memberactor.cpp
+++ b/packages/daemon/src/control/memberactor.cpp
@@ -187,8 +187,9 @@
             if (!known) {
                 m_seeds.push_back({node.inner, node.dataCentre});
             }
-        } catch (const Exception &) {
-            // The record of a daemon of another version, which can still contact this one.
+        } catch (const Exception &error) {
+            // The record of another writer, or of a daemon of another version, which can still contact this one.
+            logEvent(Event::ObjectInvalid, {{"kind", object.kind}, {"name", object.name}, {"cause", error.what()}});
         }
     }
 
--- a/packages/daemon/src/control/noderecord.cpp
+++ b/packages/daemon/src/control/noderecord.cpp
@@ -1,6 +1,9 @@
 #include "noderecord.h"
 
+#include "foundation/errors.h"
 #include "foundation/events.h"
+#include "foundation/fieldreader.h"
+#include "foundation/lenientjson.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -9,10 +12,34 @@
 
 namespace {
 
+constexpr NumberRange COUNT_RANGE{0, 9e15}; ///< integers that a double holds exactly
+
+void logInvalid(const StoredObject &record, const Exception &error)
+{
+    logEvent(Event::ObjectInvalid, {{"kind", record.kind}, {"name", record.name}, {"cause", error.what()}});
+}
+
 nlohmann::json documentOf(const StoredObject &record)
 {
-    auto document = nlohmann::json::parse(record.value, nullptr, false);
-    return document.is_object() ? document : nlohmann::json::object();
+    try {
+        auto document = parseJsonLeniently(record.value, record.kind + "/" + record.name);
+        return document.is_object() ? document : nlohmann::json::object();
+    } catch (const InvalidDocument &error) {
+        logInvalid(record, error);
+        return nlohmann::json::object();
+    }
+}
+
+UpstreamInfo leavingUpstream(const nlohmann::json &entry)
+{
+    FieldReader reader(entry, "leaving");
+    UpstreamInfo info;
+    info.id = reader.text("id");
+    info.service = reader.text("service");
+    info.state = valueOf(UPSTREAM_STATE_NAMES, reader.text("state")).value_or(UpstreamState::Draining);
+    info.born = static_cast<std::uint64_t>(reader.number("born", COUNT_RANGE));
+    info.sequence = static_cast<std::uint64_t>(reader.number("sequence", COUNT_RANGE));
+    return info;
 }
 
 } // namespace
@@ -39,19 +66,17 @@
 std::vector<UpstreamInfo> leavingUpstreams(const StoredObject &record)
 {
     std::vector<UpstreamInfo> upstreams;
-    try {
-        for (const auto &entry : documentOf(record).value("leaving", nlohmann::json::array())) {
-            UpstreamInfo info;
-            info.id = entry.at("id").get<std::string>();
-            info.service = entry.at("service").get<std::string>();
-            const auto state = valueOf(UPSTREAM_STATE_NAMES, entry.at("state").get<std::string>());
-            info.state = state.value_or(UpstreamState::Draining);
-            info.born = entry.at("born").get<std::uint64_t>();
-            info.sequence = entry.at("sequence").get<std::uint64_t>();
-            upstreams.push_back(std::move(info));
+    const auto document = documentOf(record);
+    const auto list = document.find("leaving");
+    if (list == document.end() || !list->is_array()) {
+        return upstreams;
+    }
+    for (const auto &entry : *list) {
+        try {
+            upstreams.push_back(leavingUpstream(entry));
+        } catch (const InvalidField &error) {
+            logInvalid(record, error);
         }
-    } catch (const nlohmann::json::exception &error) {
-        logEvent(Event::ObjectInvalid, {{"kind", record.kind}, {"name", record.name}, {"cause", error.what()}});
     }
     return upstreams;
 }
--- a/packages/foundation/include/foundation/errors.h
+++ b/packages/foundation/include/foundation/errors.h
@@ -21,6 +21,7 @@
 namespace ErrorMsg {
 constexpr const char INVALID_FIELD[] = "field '{}' is {}: {}";
 constexpr const char INVALID_DOCUMENT[] = "{} is not a valid JSON document ({}): correct it and try again";
+constexpr const char DOCUMENT_TOO_DEEP[] = "{} is nested deeper than {} levels: write it with fewer";
 constexpr const char FILE_UNREADABLE[] = "cannot read '{}': check that the path exists and is readable";
 constexpr const char FILE_UNWRITABLE[] = "cannot write '{}': check that its directory exists and is writable";
 constexpr const char UNKNOWN_SERVICE[] = "no service named '{}' is registered: register it before the kernel starts";
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -48,7 +48,7 @@
 {
     std::string line = fmt::format("E{} {}", static_cast<int>(event), nameOf(EVENT_NAMES, event));
     for (const auto &[key, value] : fields.items()) {
-        line += fmt::format(" {}={}", key, value.dump());
+        line += fmt::format(" {}={}", key, value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
     }
     return line;
 }
--- a/packages/foundation/src/fieldreader.cpp
+++ b/packages/foundation/src/fieldreader.cpp
@@ -1,5 +1,7 @@
 #include "foundation/fieldreader.h"
 
+#include "foundation/lenientjson.h"
+
 #include <fmt/format.h>
 
 #include <fstream>
@@ -7,12 +9,27 @@
 
 namespace mustardpond {
 
+namespace {
+
+constexpr std::size_t MAX_QUOTED_BYTES = 200; ///< of a value in an error message
+
+std::string quoted(const nlohmann::json &value)
+{
+    std::string text = value.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+    if (text.size() > MAX_QUOTED_BYTES) {
+        text = text.substr(0, MAX_QUOTED_BYTES) + "...";
+    }
+    return text;
+}
+
+} // namespace
+
 FieldReader::FieldReader(const nlohmann::json &object, std::string path)
     : m_object(object)
     , m_path(std::move(path))
 {
     if (!m_object.is_object()) {
-        throw InvalidField(m_path.empty() ? "(document)" : m_path, m_object.dump(), "write a JSON object here");
+        throw InvalidField(m_path.empty() ? "(document)" : m_path, quoted(m_object), "write a JSON object here");
     }
 }
 
@@ -129,7 +146,7 @@
 
 void FieldReader::fail(const std::string &name, const std::string &remedy) const
 {
-    throw InvalidField(pathOf(name), has(name) ? m_object[name].dump() : "missing", remedy);
+    throw InvalidField(pathOf(name), has(name) ? quoted(m_object[name]) : "missing", remedy);
 }
 
 std::string FieldReader::pathOf(const std::string &name) const
@@ -148,8 +165,14 @@
 
 nlohmann::json parseJson(const std::string &text, const std::string &source)
 {
+    const auto checkDepth = [&source](int depth, nlohmann::json::parse_event_t, const nlohmann::json &) {
+        if (depth > MAX_JSON_DEPTH) {
+            throw InvalidDocument(fmt::format(ErrorMsg::DOCUMENT_TOO_DEEP, source, MAX_JSON_DEPTH));
+        }
+        return true;
+    };
     try {
-        return nlohmann::json::parse(text);
+        return nlohmann::json::parse(text, checkDepth);
     } catch (const nlohmann::json::exception &error) {
         throw InvalidDocument(fmt::format(ErrorMsg::INVALID_DOCUMENT, source, error.what()));
     }
--- a/packages/foundation/test/events_test.cpp
+++ b/packages/foundation/test/events_test.cpp
@@ -1,6 +1,7 @@
 #include "foundation/events.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 #include <fstream>
 #include <regex>
@@ -34,6 +35,11 @@
     EXPECT_EQ(cataloguedEvents(), definedEvents);
 }
 
+TEST(EventsTest, FieldsWithInvalidUtf8AreLogged)
+{
+    EXPECT_NO_THROW(logEvent(Event::ObjectInvalid, {{"cause", "bytes \xff\xfe"}}));
+}
+
 } // namespace
 
 } // namespace mustardpond
--- a/packages/foundation/test/fieldreader_test.cpp
+++ b/packages/foundation/test/fieldreader_test.cpp
@@ -39,6 +39,22 @@
               "field 'flor' is 1: remove it; the fields known here are floor");
 }
 
+TEST(FieldReaderTest, ErrorShortensLongValues)
+{
+    const nlohmann::json document = {{"slots", std::string(100000, 'x')}};
+    FieldReader reader(document, "");
+    EXPECT_LT(messageOf([&] { reader.number("slots", {1, 10}); }).size(), 400U);
+}
+
+TEST(FieldReaderTest, DeeplyNestedTextIsRejectedAsADocument)
+{
+    const std::string nested = std::string(200000, '[') + std::string(200000, ']');
+    EXPECT_NE(messageOf([&] { parseJson("{\"service\": " + nested + "}", "the heartbeat"); }).find("nested"),
+              std::string::npos);
+    const std::string shallow = std::string(60, '[') + std::string(60, ']');
+    EXPECT_NO_THROW(parseJson(shallow, "the heartbeat"));
+}
+
 TEST(FieldReaderTest, ParseErrorNamesItsSource)
 {
     EXPECT_NE(messageOf([] { parseJson("{", "node.json"); }).find("node.json is not a valid JSON document"),
--- a/packages/net/src/httpstore.cpp
+++ b/packages/net/src/httpstore.cpp
@@ -1,6 +1,8 @@
 #include "net/httpstore.h"
 
 #include "foundation/errors.h"
+#include "foundation/events.h"
+#include "foundation/lenientjson.h"
 
 #include <boost/system/system_error.hpp>
 #include <fmt/format.h>
@@ -27,11 +29,15 @@
 
 Listing listingFrom(const std::string &text)
 {
-    const auto document = nlohmann::json::parse(text);
+    const auto document = parseJsonLeniently(text, "the platform's list");
     Listing listing;
     listing.revision = document.at("revision").get<std::uint64_t>();
     for (const auto &entry : document.at("objects")) {
-        listing.objects.push_back(objectFrom(entry));
+        try {
+            listing.objects.push_back(objectFrom(entry));
+        } catch (const nlohmann::json::exception &error) {
+            logEvent(Event::ObjectInvalid, {{"entry", listing.objects.size()}, {"cause", error.what()}});
+        }
     }
     return listing;
 }
