Do not reuse an upstream's connection after bytes beyond its answer

Cause: bytes after a complete answer that arrived in its last read stayed in the exchange's buffer and were dropped with it, so the socket looked clean and the connection was used again; the rest of a second answer then met the next request. Change: a connection whose buffer is not empty after its answer is closed. Result: UpstreamClientTest.ConnectionIsNotReusableAfterASecondAnswerInTheSameSegment failed before and passes now.

--- a/packages/daemon/src/gate/upstreamclient.cpp
+++ b/packages/daemon/src/gate/upstreamclient.cpp
@@ -82,7 +82,9 @@
 
 bool UpstreamExchange::isReusable() const
 {
-    return m_parser && m_parser->is_done() && m_parser->get().keep_alive() && m_stream && m_bodySent
+    // Bytes after the answer belong to no request. Once read, they no longer show on the socket.
+    const bool hasBytesLeft = m_buffer.size() > 0;
+    return m_parser && m_parser->is_done() && m_parser->get().keep_alive() && m_stream && m_bodySent && !hasBytesLeft
         && !m_reusePrevented;
 }
 
