--- a/packages/daemon/src/gate/crashwatch.cpp
+++ b/packages/daemon/src/gate/crashwatch.cpp
@@ -10,14 +10,14 @@
 
 namespace {
 
-constexpr Millis CONNECT_TIMEOUT{200};
+constexpr Millis CRASH_CHECK_TIMEOUT{200};
 constexpr Millis RECHECK_DELAY{20};
 constexpr std::array<Millis, 3> BACKGROUND_CHECK_DELAYS = {Millis(100), Millis(300), Millis(600)};
 
 bool refusesConnections(GateContext &gate, const Endpoint &upstream, const Yield &yield)
 {
     try {
-        gate.client.open(upstream, true, CONNECT_TIMEOUT, yield);
+        gate.client.open(upstream, true, CRASH_CHECK_TIMEOUT, yield);
         return false;
     } catch (const boost::system::system_error &error) {
         return error.code() == asio::error::connection_refused;
--- a/packages/daemon/src/router/answerstream.cpp
+++ b/packages/daemon/src/router/answerstream.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr Millis WRITE_TIMEOUT{30000};
 constexpr Millis CHUNK_TIMEOUT{30000};
 
 Millis timeLeft(const StreamedAnswer &answer)
@@ -31,7 +30,7 @@
     head.body().data = piece.data();
     head.body().size = piece.size();
     head.body().more = !last;
-    caller.expires_after(toDuration(WRITE_TIMEOUT));
+    caller.expires_after(toDuration(CALLER_WRITE_TIMEOUT));
     ErrorCode error;
     http::async_write(caller, serializer, yield[error]);
     if (error && error != http::error::need_buffer) {
@@ -47,7 +46,7 @@
     head.body().data = nullptr;
     head.body().more = true;
     Serializer serializer(head);
-    caller.expires_after(toDuration(WRITE_TIMEOUT));
+    caller.expires_after(toDuration(CALLER_WRITE_TIMEOUT));
     http::async_write_header(caller, serializer, yield);
     StreamDigest digest;
     digest.add(answer.start.data(), answer.start.size());
--- a/packages/daemon/src/router/answerstream.h
+++ b/packages/daemon/src/router/answerstream.h
@@ -5,6 +5,9 @@
 
 namespace mustardpond {
 
+/// For one write to a caller, which may read slowly.
+constexpr Millis CALLER_WRITE_TIMEOUT{30000};
+
 /// The parts of an answer that is too large for one frame.
 struct StreamedAnswer {
     std::uint64_t request = 0;
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -23,7 +23,6 @@
 constexpr const char OPERATIONS_PATH[] = "/-/operations";
 constexpr std::size_t READ_BUFFER_BYTES = 64 * KIB;
 constexpr std::size_t HEAD_READ_BYTES = 1 * KIB;
-constexpr Millis WRITE_TIMEOUT{30000};
 constexpr Millis DRAIN_TIMEOUT{500};
 constexpr Millis OPEN_TIMEOUT{5000};
 constexpr Millis PROBLEM_RETRY_AFTER{1000}; ///< sent with every answer of replyProblem()
@@ -159,7 +158,7 @@
     const auto &head = m_parser->get();
     if (beast::iequals(head[http::field::expect], "100-continue")) {
         http::response<http::empty_body> proceed(http::status::continue_, head.version());
-        m_stream.expires_after(toDuration(WRITE_TIMEOUT));
+        m_stream.expires_after(toDuration(CALLER_WRITE_TIMEOUT));
         http::async_write(m_stream, proceed, yield);
     }
     if (m_router.dialect().hasOperations() && head.target() == OPERATIONS_PATH) {
@@ -508,7 +507,7 @@
     response.body().data = const_cast<std::uint8_t *>(answer.body.data());
     response.body().size = isHead ? 0 : answer.body.size();
     response.body().more = false;
-    m_stream.expires_after(toDuration(WRITE_TIMEOUT));
+    m_stream.expires_after(toDuration(CALLER_WRITE_TIMEOUT));
     http::async_write(m_stream, response, yield);
     m_keepOpen = m_keepOpen && response.keep_alive();
 }
@@ -554,7 +553,7 @@
 {
     response.keep_alive(keepAlive());
     response.prepare_payload();
-    m_stream.expires_after(toDuration(WRITE_TIMEOUT));
+    m_stream.expires_after(toDuration(CALLER_WRITE_TIMEOUT));
     ErrorCode error;
     http::async_write(m_stream, response, yield[error]);
     m_keepOpen = m_keepOpen && !error && response.keep_alive();
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/setup.sh
+echo "setup and build took $SECONDS s"
 exclude=""
 if [ -f KNOWN-RED.txt ]; then
     names=$(grep -E '^test: ' KNOWN-RED.txt | sed 's/^test: //' | paste -sd'|' || true)
