--- a/packages/testing/src/callers_main.cpp
+++ b/packages/testing/src/callers_main.cpp
@@ -50,6 +50,8 @@
     std::uint64_t refused = 0;
     std::uint64_t unknown = 0;
     std::uint64_t notRun = 0;
+    std::uint64_t cut = 0; ///< requests that were sent and whose connection ended without a complete answer
+    std::uint64_t unconnected = 0; ///< calls that failed before the request was sent
     std::uint64_t failed = 0; ///< requests whose attempts were used up
     std::vector<double> latencies;
     std::map<std::string, std::string> uploads; ///< digests of acknowledged uploads by mark
@@ -233,6 +235,7 @@
 
     Response call(http::request<http::string_body> &request, const Yield &yield)
     {
+        bool sent = false;
         try {
             if (!m_stream) {
                 m_stream = std::make_unique<beast::tcp_stream>(m_context);
@@ -243,6 +246,7 @@
             }
             m_stream->expires_after(toDuration(CALL_TIMEOUT));
             http::async_write(*m_stream, request, yield);
+            sent = true;
             http::response_parser<http::string_body> parser;
             parser.body_limit(UNLIMITED_BYTES);
             http::async_read(*m_stream, m_buffer, parser, yield);
@@ -252,6 +256,7 @@
             }
             return response;
         } catch (const boost::system::system_error &) {
+            ++(sent ? m_totals.cut : m_totals.unconnected);
             m_stream.reset();
             m_router = m_plan.routers[m_random.below(m_plan.routers.size())];
             return Response(http::status::unknown, 11);
@@ -381,6 +386,8 @@
                                      {"wrong", totals.wrong},
                                      {"duplicated", records.duplicated},
                                      {"falseNotRun", records.falseNotRun},
+                                     {"cut", totals.cut},
+                                     {"unconnected", totals.unconnected},
                                      {"refused", totals.refused},
                                      {"lostUploads", records.lostUploads},
                                      {"unknown", totals.unknown},
