Shorten quoted values in errors between characters

Cause: the first version escaped all characters beyond ASCII, so that a short value with an umlaut was harder to read. Change: values are quoted as they are and cut before a continuation byte.

--- a/packages/foundation/src/fieldreader.cpp
+++ b/packages/foundation/src/fieldreader.cpp
@@ -13,13 +13,22 @@
 
 constexpr std::size_t MAX_QUOTED_BYTES = 200; ///< of a value in an error message
 
+bool isUtf8Continuation(char byte)
+{
+    return (static_cast<unsigned char>(byte) & 0xC0U) == 0x80U;
+}
+
 std::string quoted(const nlohmann::json &value)
 {
-    std::string text = value.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
-    if (text.size() > MAX_QUOTED_BYTES) {
-        text = text.substr(0, MAX_QUOTED_BYTES) + "...";
+    const std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (text.size() <= MAX_QUOTED_BYTES) {
+        return text;
+    }
+    std::size_t end = MAX_QUOTED_BYTES;
+    while (end > 0 && isUtf8Continuation(text[end])) {
+        --end;
     }
-    return text;
+    return text.substr(0, end) + "...";
 }
 
 } // namespace
--- a/packages/foundation/test/fieldreader_test.cpp
+++ b/packages/foundation/test/fieldreader_test.cpp
@@ -46,6 +46,20 @@
     EXPECT_LT(messageOf([&] { reader.number("slots", {1, 10}); }).size(), 400U);
 }
 
+TEST(FieldReaderTest, ErrorShortensLongValuesBetweenCharacters)
+{
+    for (const char *start : {"", "x"}) {
+        std::string value = start;
+        for (int count = 0; count < 200; ++count) {
+            value += "\u00fc";
+        }
+        const nlohmann::json document = {{"name", value}};
+        FieldReader reader(document, "");
+        const nlohmann::json message = messageOf([&] { reader.number("name", {1, 10}); });
+        EXPECT_NO_THROW(message.dump()) << "the message is not valid UTF-8";
+    }
+}
+
 TEST(FieldReaderTest, DeeplyNestedTextIsRejectedAsADocument)
 {
     const std::string nested = std::string(200000, '[') + std::string(200000, ']');
