--- a/packages/foundation/src/fieldreader.cpp
+++ b/packages/foundation/src/fieldreader.cpp
@@ -20,7 +20,7 @@
 
 std::string quoted(const nlohmann::json &value)
 {
-    const std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::string text = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     if (text.size() <= MAX_QUOTED_BYTES) {
         return text;
     }
