Fail for an answer without a length whose connection was reset during the upload

Cause: the failed write of the body takes the error off the socket, so the next read sees a regular end of file, which is the end of such an answer. The write of the following piece waited until 60 s past the deadline, with the slot taken.

Change: the exchange remembers the reset, sends nothing more, and fails if only the end of the connection marks the end of the body.

--- a/packages/daemon/src/gate/upstreamclient.cpp
+++ b/packages/daemon/src/gate/upstreamclient.cpp
@@ -32,6 +32,9 @@
 
 void UpstreamExchange::sendBody(const std::string &chunk, bool last, Millis timeout, const Yield &yield)
 {
+    if (m_connectionReset) {
+        return; // a further write would never complete
+    }
     m_request->body().data = const_cast<char *>(chunk.data());
     m_request->body().size = chunk.size();
     m_request->body().more = !last;
@@ -39,7 +42,7 @@
     ErrorCode error;
     http::async_write(*m_stream, *m_serializer, yield[error]);
     if (error == asio::error::broken_pipe || error == asio::error::connection_reset) {
-        m_reusePrevented = true;
+        m_connectionReset = true;
         return;
     }
     if (error && error != http::error::need_buffer) {
@@ -77,6 +80,10 @@
     if (error && error != http::error::need_buffer) {
         throw boost::system::system_error(error);
     }
+    // The failed write has taken the error off the socket, so that the reset now reads as a regular end of file.
+    if (m_connectionReset && m_parser->is_done() && m_parser->need_eof()) {
+        throw boost::system::system_error(asio::error::connection_reset);
+    }
     return !m_parser->is_done();
 }
 
@@ -85,7 +92,7 @@
     // Bytes after the answer belong to no request. Once read, they no longer show on the socket.
     const bool hasBytesLeft = m_buffer.size() > 0;
     return m_parser && m_parser->is_done() && m_parser->get().keep_alive() && m_stream && m_bodySent && !hasBytesLeft
-        && !m_reusePrevented;
+        && !m_connectionReset && !m_reusePrevented;
 }
 
 void UpstreamExchange::cancel()
--- a/packages/daemon/src/gate/upstreamclient.h
+++ b/packages/daemon/src/gate/upstreamclient.h
@@ -25,11 +25,12 @@
 
     /// Sends the head of the request. From its first byte on, the upstream may run the request.
     void sendHead(http::request<http::buffer_body> &request, Millis timeout, const Yield &yield);
-    /// Returns without an error if the upstream has begun to answer or has closed the connection: what it has sent can
-    /// still be read.
+    /// Returns without an error if the upstream has reset the connection, since an answer that it sent before can still
+    /// be read. Later calls then send nothing.
     void sendBody(const std::string &chunk, bool last, Millis timeout, const Yield &yield);
     void receiveHead(Millis timeout, const Yield &yield);
-    /// Appends up to limit bytes of the answer's body. Returns false when the body has ended.
+    /// Appends up to limit bytes of the answer's body. Returns false when the body has ended. Fails if the end of the
+    /// connection marks the end of the body and the connection was reset.
     bool receiveBody(std::string &body, std::size_t limit, Millis timeout, const Yield &yield);
 
     const http::response<http::buffer_body> &head() const
@@ -64,6 +65,7 @@
     std::unique_ptr<beast::tcp_stream> m_stream;
     bool m_reused;
     bool m_cancelled = false;
+    bool m_connectionReset = false; ///< found while the request was being sent
     bool m_reusePrevented = false;
     bool m_bodySent = false;
     beast::flat_buffer m_buffer;
