Bound the buffers of all HTTP readers

Cause: Beast limits head and body; what lies between stays in the buffer until it is complete, and no buffer had a maximum size. The same held for requests of callers, heartbeats and replies of the store, whose body had no limit, either.

--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -3,6 +3,7 @@
 #include "config/burnjson.h"
 #include "foundation/errors.h"
 #include "foundation/events.h"
+#include "net/bodybuffer.h"
 
 #include <nlohmann/json.hpp>
 
@@ -98,7 +99,7 @@
 void LocalEndpoint::serve(tcp::socket socket, const Yield &yield)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(MAX_READ_BUFFER_BYTES);
     while (true) {
         http::request_parser<http::string_body> parser;
         stream.expires_after(toDuration(IDLE_TIMEOUT));
--- a/packages/daemon/src/gate/upstreamclient.cpp
+++ b/packages/daemon/src/gate/upstreamclient.cpp
@@ -16,6 +16,7 @@
 UpstreamExchange::UpstreamExchange(std::unique_ptr<beast::tcp_stream> stream, bool reused)
     : m_stream(std::move(stream))
     , m_reused(reused)
+    , m_buffer(MAX_READ_BUFFER_BYTES)
 {
 }
 
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -6,6 +6,7 @@
 #include "foundation/errors.h"
 #include "foundation/events.h"
 #include "httprules.h"
+#include "net/bodybuffer.h"
 #include "operationopener.h"
 #include "regionbytecounter.h"
 #include "router.h"
@@ -112,6 +113,7 @@
 {
     m_parser.emplace();
     const CallerLimits limits = callerLimits();
+    m_buffer.max_size(limits.headBytes + MAX_READ_BUFFER_BYTES);
     m_parser->header_limit(static_cast<std::uint32_t>(limits.headBytes));
     m_parser->body_limit(limits.bodyBytes);
     ErrorCode error;
--- a/packages/daemon/test/upstreamclient_test.cpp
+++ b/packages/daemon/test/upstreamclient_test.cpp
@@ -68,6 +68,22 @@
             endPeer(end);
         });
     }
+    /// Starts an upstream that sends the bytes and then a pattern without end, until the caller closes.
+    void startEndlessUpstream(const std::string &bytes, const std::string &pattern)
+    {
+        asio::spawn(m_context, [this, bytes, pattern](const Yield &yield) {
+            m_acceptor.async_accept(m_peer, yield);
+            asio::async_write(m_peer, asio::buffer(bytes), yield);
+            std::string piece;
+            while (piece.size() < 64 * KIB) {
+                piece += pattern;
+            }
+            ErrorCode error;
+            while (!error) {
+                m_bytesSent += asio::async_write(m_peer, asio::buffer(piece), yield[error]);
+            }
+        });
+    }
     /// Returns the error of reading the answer to a GET, and closes the connection.
     ErrorCode errorOfAnswer()
     {
@@ -133,6 +149,7 @@
     tcp::socket m_peer;
     UpstreamClient m_client{m_context};
     http::request<http::buffer_body> m_request;
+    std::size_t m_bytesSent = 0;
 };
 
 TEST_F(UpstreamClientTest, ConnectionIsReusableAfterACompleteAnswer)
@@ -176,6 +193,28 @@
     EXPECT_EQ(errorOfAnswer(), http::error::partial_message);
 }
 
+// Bytes that never became a chunk were kept until the process exceeded its memory limit and was killed.
+TEST_F(UpstreamClientTest, EndlessChunkExtensionFails)
+{
+    startEndlessUpstream(CHUNKED_HEAD, "2;extension");
+    EXPECT_EQ(errorOfAnswer(), http::error::buffer_overflow);
+    EXPECT_LT(m_bytesSent, 16 * MIB) << "the connection's buffers hold a few MiB";
+}
+
+TEST_F(UpstreamClientTest, EndlessChunkSizeFails)
+{
+    startEndlessUpstream(CHUNKED_HEAD, "0");
+    EXPECT_TRUE(errorOfAnswer());
+    EXPECT_LT(m_bytesSent, 16 * MIB);
+}
+
+TEST_F(UpstreamClientTest, EndlessTrailerFails)
+{
+    startEndlessUpstream(CHUNKED_HEAD + "0\r\n", "Field: value\r\n");
+    EXPECT_TRUE(errorOfAnswer());
+    EXPECT_LT(m_bytesSent, 16 * MIB);
+}
+
 } // namespace
 
 } // namespace mustardpond
--- a/packages/net/include/net/httpcall.h
+++ b/packages/net/include/net/httpcall.h
@@ -20,7 +20,7 @@
 };
 
 /// Sends a request on a new connection. Throws boost::system::system_error if no complete reply arrives within the
-/// timeout.
+/// timeout, or if it is larger than 32 MiB.
 HttpReply callHttp(const HttpCall &call, Millis timeout);
 
 } // namespace mustardpond
--- a/packages/net/src/httpcall.cpp
+++ b/packages/net/src/httpcall.cpp
@@ -1,5 +1,7 @@
 #include "net/httpcall.h"
 
+#include "foundation/bytes.h"
+#include "net/bodybuffer.h"
 #include "net/net.h"
 
 #include <exception>
@@ -8,6 +10,8 @@
 
 namespace {
 
+constexpr std::uint64_t MAX_REPLY_BYTES = 32 * MIB;
+
 HttpReply exchange(asio::io_context &context, const HttpCall &call, Millis timeout, const Yield &yield)
 {
     beast::tcp_stream stream(context);
@@ -20,9 +24,9 @@
     request.prepare_payload();
     request.keep_alive(false);
     http::async_write(stream, request, yield);
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(MAX_READ_BUFFER_BYTES);
     http::response_parser<http::string_body> parser;
-    parser.body_limit(UNLIMITED_BYTES);
+    parser.body_limit(MAX_REPLY_BYTES);
     http::async_read(stream, buffer, parser, yield);
     return {parser.get().result_int(), parser.get().body()};
 }
--- a/packages/testing/src/upstream_main.cpp
+++ b/packages/testing/src/upstream_main.cpp
@@ -40,7 +40,7 @@
     std::string onPath; ///< affects only requests whose path contains this text; empty for all
     bool hang = false;
     bool truncate = false;
-    std::string endless; ///< "head" or "body": the part of the answer that does not end
+    std::string endless; ///< "head", "body", "chunk" or "trailer": the part of the answer that does not end
     std::uint64_t lastSilentConnection = 0; ///< connections up to this number are read and never answered
 };
 
@@ -176,10 +176,23 @@
         throw NoAnswer();
     }
 
+    /// Returns the bytes of an answer up to the given part.
+    static std::string startOfEndless(const std::string &part)
+    {
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        if (part == "head") {
+            return "HTTP/1.1 200 OK\r\nFiller: ";
+        }
+        if (part == "chunk") {
+            return chunked + "2;";
+        }
+        return part == "trailer" ? chunked + "0\r\nFiller: " : "HTTP/1.1 200 OK\r\n\r\n";
+    }
+
     /// Writes until the peer closes the connection; the write error then ends this function.
     [[noreturn]] void writeEndlessAnswer(tcp::socket &socket, const Yield &yield)
     {
-        const std::string start = m_fault.endless == "head" ? "HTTP/1.1 200 OK\r\nFiller: " : "HTTP/1.1 200 OK\r\n\r\n";
+        const std::string start = startOfEndless(m_fault.endless);
         asio::async_write(socket, asio::buffer(start), yield);
         const std::string chunk(ENDLESS_CHUNK_BYTES, 'x');
         while (true) {
