Refuse requests that could outlast a planned stop

A wait for a configuration ends with the stop, and the gate's last runs get the time of the last answers.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -200,7 +200,7 @@
     router->stopAccepting(yield);
     waitWhile([&] { return gate->isBusy() || !router->isIdle(); }, drainTime);
     router->abortPending();
-    waitWhile([&] { return router->isBusy(); }, grace);
+    waitWhile([&] { return gate->isBusy() || router->isBusy(); }, grace);
     m_kernel.stop();
     logEvent(Event::Stopped, {{"node", m_settings.node}});
     m_context.stop();
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -2,6 +2,7 @@
 
 #include "answerstream.h"
 
+#include "decision/stopadmission.h"
 #include "foundation/bytes.h"
 #include "foundation/errors.h"
 #include "foundation/events.h"
@@ -26,6 +27,7 @@
 constexpr std::size_t HEAD_READ_BYTES = 1 * KIB;
 constexpr Millis DRAIN_TIMEOUT{500};
 constexpr Millis OPEN_TIMEOUT{5000};
+constexpr Millis MIN_RETRY_AFTER{200};
 constexpr Millis PROBLEM_RETRY_AFTER{1000}; ///< sent with every answer of replyProblem()
 constexpr Millis QUARANTINE_RETRY_AFTER{60000}; ///< for a request that crashes upstreams
 
@@ -223,6 +225,9 @@
         request.bodyBytes = m_parser->content_length() ? *m_parser->content_length() : 0;
     }
     request.fingerprint = requestFingerprint(request.method, request.target, request.body);
+    if (refuseLate(request, startedAt, yield)) {
+        return;
+    }
     m_stream.expires_never();
     Dispatch dispatch(m_router.dispatchContext(), request);
     watchCaller(request, dispatch);
@@ -299,6 +304,33 @@
     return true;
 }
 
+bool CallerSession::refuseLate(const CallerRequest &request, Millis startedAt, const Yield &yield)
+{
+    // An operation may have run through another router, so this one cannot answer that it has not run.
+    if (m_router.isAccepting() || !request.operation.empty()) {
+        return false;
+    }
+    const DispatchContext &context = m_router.dispatchContext();
+    const Millis now = m_router.clock().now();
+    LateRequest late;
+    late.timeLeft = request.deadline - now;
+    late.untilStop = *context.stopAt - now;
+    late.serviceTime = m_router.table().classServiceTime(request.service, request.workClass.name);
+    late.latencyTarget = request.workClass.latencyTarget;
+    late.inner = request.inner;
+    if (endsBeforeStop(late)) {
+        return false;
+    }
+    m_keepOpen = false;
+    DispatchResult result;
+    result.answer.outcome = wire::Outcome::NotRun;
+    result.answer.reason = wire::NotRunReason::Leaving;
+    result.answer.detail = "the daemon is stopping and might not finish the request in time";
+    result.retryAfter = std::max(MIN_RETRY_AFTER, late.untilStop);
+    reply(request, std::move(result), startedAt, yield);
+    return true;
+}
+
 bool CallerSession::readBody(CallerRequest &request, const Yield &yield)
 {
     const std::size_t limit = m_router.settings().limits.bufferedBodyBytes;
--- a/packages/daemon/src/router/callersession.h
+++ b/packages/daemon/src/router/callersession.h
@@ -57,6 +57,8 @@
     CallerBody bodyReader();
     void replyProblem(http::status status, const std::string &detail, const Yield &yield);
     void replyRouterAnswer(http::status status, const RouterAnswer &answer, const Yield &yield);
+    /// Answers a request that arrives late in a planned stop and might outlast it as not run. Returns whether it did.
+    bool refuseLate(const CallerRequest &request, Millis startedAt, const Yield &yield);
     void logRouterAnswer(const CallerRequest &request, const RouterAnswer &answer, const DispatchResult &result,
                          Millis startedAt);
     /// Calls Dispatch::leave() when the caller closes its connection.
--- a/packages/daemon/src/router/router.cpp
+++ b/packages/daemon/src/router/router.cpp
@@ -103,7 +103,7 @@
 bool Router::waitForConfiguration(Millis timeout, const Yield &yield)
 {
     const Millis deadline = m_clock.now() + timeout;
-    while (!view().configured && m_clock.now() < deadline) {
+    while (!view().configured && !m_leaving && m_clock.now() < deadline) {
         asio::steady_timer timer(m_context, toDuration(CONFIGURATION_CHECK_INTERVAL));
         ErrorCode ignored;
         timer.async_wait(yield[ignored]);
--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -47,11 +47,17 @@
     void abortPending();
     /// Whether a request is being read or served.
     bool isBusy() const;
-    /// Accepts the connections in the backlog and stops listening; open connections are still served.
+    /// Accepts the connections in the backlog and stops listening. On open connections, requests are still served if
+    /// they end before the stop.
     void stopAccepting(const Yield &yield)
     {
+        m_accepting = false;
         m_listener->drain(yield);
     }
+    bool isAccepting() const
+    {
+        return m_accepting;
+    }
     bool isLeaving() const
     {
         return m_leaving;
@@ -119,7 +125,8 @@
     {
         return m_dispatch;
     }
-    /// Waits until a configuration has been received. Returns false when the timeout has passed without one.
+    /// Waits until a configuration has been received. Returns false when the timeout has passed without one, or when
+    /// the router is leaving.
     bool waitForConfiguration(Millis timeout, const Yield &yield);
     /// Reports that a request was held because all upstreams were full.
     void reportHeld(const std::string &service, const std::string &workClass);
@@ -144,6 +151,7 @@
     SaturationHandler m_onSaturation;
     std::set<CallerSession *> m_sessions;
     bool m_leaving = false;
+    bool m_accepting = true;
     bool m_stopped = false;
 };
 
