Order the starts of an upstream by more than their start times

Cause: the registry ordered the starts of an id by their start times alone. A deregistration names none, so any late heartbeat looked newer; after a backward step of the clock, the newer start looks older for good. The record of such a deregistration was dropped when it was read, for its empty service.

Change: a deregistration ends all starts up to its receipt; a start that goes on announcing itself for 4 s while the known one is silent replaces it; a report of leaving that changes nothing is not acknowledged while the id is ready.

--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -158,19 +158,27 @@
     response.set(http::field::content_type, "application/json");
     response.body() = "{}";
     try {
-        const auto announcement =
+        auto announcement =
             m_dialect->read({std::string(request.method_string()), std::string(request.target()), request.body()});
         if (!announcement) {
             response.result(http::status::not_found);
             response.body() = R"({"error":"this method and path do not take announcements"})";
             return response;
         }
+        if (announcement->state == UpstreamState::Gone && announcement->born == 0) {
+            announcement->endedAt = static_cast<std::uint64_t>(wallClockNow().value);
+        }
         const AnnounceResult result = m_gate.context().registry.announce(*announcement, m_clock.now());
         const bool leaves =
             announcement->state == UpstreamState::Draining || announcement->state == UpstreamState::Gone;
         if (leaves && result == AnnounceResult::Changed) {
             storeRecord(yield);
         }
+        if (leaves && result == AnnounceResult::Late && m_gate.context().registry.isReady(announcement->id)) {
+            // An acknowledgement would promise that the upstream gets no more requests.
+            response.result(http::status::service_unavailable);
+            response.body() = R"({"error":"a later start of this upstream is known: report again"})";
+        }
     } catch (const Exception &error) {
         logEvent(Event::AnnouncementInvalid, {{"cause", error.what()}});
         response.result(http::status::bad_request);
--- a/packages/daemon/src/control/noderecord.cpp
+++ b/packages/daemon/src/control/noderecord.cpp
@@ -35,7 +35,7 @@
     FieldReader reader(entry, "leaving");
     UpstreamInfo info;
     info.id = reader.text("id");
-    info.service = reader.text("service");
+    info.service = reader.text("service", "");
     info.state = valueOf(UPSTREAM_STATE_NAMES, reader.text("state")).value_or(UpstreamState::Draining);
     info.born = static_cast<std::uint64_t>(reader.number("born", COUNT_RANGE));
     info.sequence = static_cast<std::uint64_t>(reader.number("sequence", COUNT_RANGE));
@@ -50,11 +50,14 @@
     nlohmann::json list = nlohmann::json::array();
     for (const UpstreamInfo &upstream : upstreams) {
         if (upstream.state == UpstreamState::Draining || upstream.state == UpstreamState::Gone) {
-            list.push_back({{"id", upstream.id},
-                            {"service", upstream.service},
-                            {"state", nameOf(UPSTREAM_STATE_NAMES, upstream.state)},
-                            {"born", upstream.born},
-                            {"sequence", upstream.sequence}});
+            nlohmann::json entry = {{"id", upstream.id},
+                                    {"state", nameOf(UPSTREAM_STATE_NAMES, upstream.state)},
+                                    {"born", upstream.born},
+                                    {"sequence", upstream.sequence}};
+            if (!upstream.service.empty()) {
+                entry["service"] = upstream.service; // a deregistration names only the id
+            }
+            list.push_back(std::move(entry));
         }
     }
     const nlohmann::json document = {{"inner", toString(settings.advertisedInner)}, {"local", toString(settings.local)},
--- a/packages/daemon/src/gate/upstreamregistry.cpp
+++ b/packages/daemon/src/gate/upstreamregistry.cpp
@@ -52,10 +52,12 @@
 }
 
 /// Whether an announcement is older than the known state of the same id.
-bool isOlder(const Announcement &announcement, std::uint64_t born, std::uint64_t sequence, UpstreamState state)
+/// @param endedAt time up to which all starts of the id have ended; 0 if unknown
+bool isOlder(const Announcement &announcement, std::uint64_t born, std::uint64_t sequence, UpstreamState state,
+             std::uint64_t endedAt)
 {
     if (announcement.born != 0 && announcement.born != born) {
-        return announcement.born < born;
+        return announcement.born < born || announcement.born <= endedAt;
     }
     const bool revertsLeaving = isLeaving(state) && announcement.state < state && born != 0;
     return revertsLeaving || (announcement.sequence != 0 && announcement.sequence < sequence);
@@ -68,14 +70,18 @@
     const auto known = m_upstreams.find(announcement.id);
     if (known != m_upstreams.end()) {
         const Announcement &before = known->second.announced;
-        if (isOlder(announcement, before.born, before.sequence, before.state)) {
+        const UpstreamState state = known->second.superseded ? UpstreamState::Ready : before.state;
+        if (isOlder(announcement, before.born, before.sequence, state, before.endedAt)) {
             return true;
         }
+        if (known->second.startTimeMisleads && announcement.born == before.born) {
+            return false;
+        }
     }
     const auto restored = m_restored.find(announcement.id);
     if (restored != m_restored.end()) {
         const UpstreamInfo &before = restored->second;
-        if (isOlder(announcement, before.born, before.sequence, before.state)) {
+        if (isOlder(announcement, before.born, before.sequence, before.state, 0)) {
             return true;
         }
     }
@@ -83,13 +89,41 @@
     // upstream started last is the only current one. Addresses are not compared.
     return announcement.born != 0
         && std::any_of(m_upstreams.begin(), m_upstreams.end(), [&announcement](const auto &entry) {
-               return entry.first != announcement.id && entry.second.announced.born > announcement.born;
+               return entry.first != announcement.id && !entry.second.superseded
+                   && entry.second.announced.born > announcement.born;
            });
 }
 
+bool UpstreamRegistry::isNewerDespiteStartTime(const Announcement &announcement, Millis now)
+{
+    const auto known = m_upstreams.find(announcement.id);
+    const auto restored = m_restored.find(announcement.id);
+    const bool isKnownStart = (known != m_upstreams.end() && known->second.announced.born == announcement.born)
+        || (restored != m_restored.end() && restored->second.born == announcement.born);
+    if (announcement.born == 0 || announcement.sequence == 0 || isKnownStart) {
+        return false;
+    }
+    StartChallenge::Claim claim{announcement.born, announcement.sequence, Millis()};
+    for (const auto &[id, upstream] : m_upstreams) {
+        claim.knownHeardAt = std::max(claim.knownHeardAt, upstream.lastAnnouncedAt);
+    }
+    return m_startChallenge.onClaim(claim, now);
+}
+
+void UpstreamRegistry::learnEndedStart(const Announcement &announcement)
+{
+    const auto known = m_upstreams.find(announcement.id);
+    if (known != m_upstreams.end() && isDeregistrationOnly(known->second.announced)) {
+        known->second.announced.born = announcement.born;
+        known->second.announced.sequence = announcement.sequence;
+    }
+}
+
 AnnounceResult UpstreamRegistry::announce(const Announcement &announcement, Millis now)
 {
-    if (isLate(announcement)) {
+    const bool late = isLate(announcement);
+    if (late && !isNewerDespiteStartTime(announcement, now)) {
+        learnEndedStart(announcement);
         logEvent(Event::AnnouncementLate,
                  {{"upstream", announcement.id},
                   {"born", announcement.born},
@@ -97,13 +131,14 @@
                   {"state", nameOf(UPSTREAM_STATE_NAMES, announcement.state)}});
         return AnnounceResult::Late;
     }
-    markOthersGone(announcement);
+    markOthersGone(announcement, late);
     const auto found = m_upstreams.find(announcement.id);
     if (found == m_upstreams.end()) {
         const auto waiting = announcement.slots * m_waitingPerSlot;
         auto queue = std::make_shared<SlotQueue>(announcement.slots, waiting);
         LocalUpstream &added = m_upstreams[announcement.id];
         added = {announcement, now, now + announcement.warmupRemaining, std::move(queue)};
+        added.startTimeMisleads = late;
         const auto restored = m_restored.find(announcement.id);
         if (restored != m_restored.end() && isDeregistrationOnly(announcement)) {
             completeDeregistration(added.announced, restored->second);
@@ -118,6 +153,8 @@
         || before.service != announcement.service || before.born != announcement.born;
     known.lastAnnouncedAt = now;
     known.announced = announcement;
+    known.superseded = false;
+    known.startTimeMisleads = late || (known.startTimeMisleads && before.born == announcement.born);
     if (announcement.state == UpstreamState::Gone) {
         // A deregistration carries only the id.
         known.announced.service = before.service;
@@ -125,6 +162,7 @@
         known.announced.slots = before.slots;
         known.announced.born = std::max(before.born, announcement.born);
         known.announced.sequence = std::max(before.sequence, announcement.sequence);
+        known.announced.endedAt = std::max(before.endedAt, announcement.endedAt);
     }
     known.warmupUntil = now + announcement.warmupRemaining;
     known.queue->resize(known.announced.slots);
@@ -136,13 +174,15 @@
     return AnnounceResult::Changed;
 }
 
-void UpstreamRegistry::markOthersGone(const Announcement &announcement)
+void UpstreamRegistry::markOthersGone(const Announcement &announcement, bool startTimeMisleads)
 {
     if (announcement.born == 0) {
         return;
     }
     for (auto &[id, upstream] : m_upstreams) {
-        if (id != announcement.id && upstream.announced.born < announcement.born) {
+        const bool isOlderStart = startTimeMisleads || upstream.announced.born < announcement.born;
+        if (id != announcement.id && isOlderStart) {
+            upstream.superseded = upstream.superseded || !isLeaving(upstream.announced.state);
             upstream.announced.state = UpstreamState::Gone;
         }
     }
@@ -151,8 +191,8 @@
 void UpstreamRegistry::restore(const UpstreamInfo &info)
 {
     const auto known = m_restored.find(info.id);
-    const bool newer = known == m_restored.end() || info.born > known->second.born
-        || (info.born == known->second.born && info.sequence >= known->second.sequence);
+    const bool newerStart = known == m_restored.end() || info.born > known->second.born;
+    const bool newer = newerStart || (info.born == known->second.born && info.sequence >= known->second.sequence);
     if (!newer) {
         return;
     }
@@ -162,8 +202,14 @@
         completeDeregistration(found->second.announced, info);
         return publish();
     }
-    const bool supersedes = found != m_upstreams.end() && isLeaving(info.state)
-        && found->second.announced.born == info.born && found->second.announced.state < info.state;
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    const Announcement &current = found->second.announced;
+    const bool endsEarlierStart = newerStart && info.state == UpstreamState::Gone && current.born != 0
+        && current.born < info.born && !found->second.startTimeMisleads;
+    const bool supersedes =
+        isLeaving(info.state) && current.state < info.state && (current.born == info.born || endsEarlierStart);
     if (supersedes) {
         found->second.announced.state = info.state;
         publish();
@@ -192,6 +238,12 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
+bool UpstreamRegistry::isReady(const std::string &id) const
+{
+    const auto found = m_upstreams.find(id);
+    return found != m_upstreams.end() && found->second.announced.state == UpstreamState::Ready;
+}
+
 LocalUpstream *UpstreamRegistry::leastLoaded(const std::string &service)
 {
     LocalUpstream *best = nullptr;
@@ -210,7 +262,9 @@
     std::vector<UpstreamInfo> list;
     for (const auto &[id, upstream] : m_upstreams) {
         const Announcement &announced = upstream.announced;
-        list.push_back({id, announced.service, announced.state, announced.slots, announced.born, announced.sequence});
+        const bool gone = announced.state == UpstreamState::Gone;
+        const std::uint64_t born = gone ? std::max(announced.born, announced.endedAt) : announced.born;
+        list.push_back({id, announced.service, announced.state, announced.slots, born, announced.sequence});
     }
     for (const auto &[id, info] : m_restored) {
         if (m_upstreams.count(id) == 0 && isLeaving(info.state)) {
--- a/packages/daemon/src/gate/upstreamregistry.h
+++ b/packages/daemon/src/gate/upstreamregistry.h
@@ -3,6 +3,7 @@
 
 #include "announcement.h"
 #include "decision/slotqueue.h"
+#include "decision/startchallenge.h"
 #include "membership/member.h"
 
 #include <functional>
@@ -18,6 +19,8 @@
     Millis lastAnnouncedAt;
     Millis warmupUntil; ///< slow until then
     std::shared_ptr<SlotQueue> queue;
+    bool superseded = false; ///< gone since another upstream took its address, not by its own announcement
+    bool startTimeMisleads = false; ///< newer than the other known starts, although its start time is earlier
 };
 
 enum class AnnounceResult : std::uint8_t {
@@ -53,6 +56,7 @@
     void expire(Millis now);
     /// Returns null if there is none.
     LocalUpstream *find(const std::string &id);
+    bool isReady(const std::string &id) const;
     /// Returns the ready upstream of a service with the fewest requests per slot, or null if there is none.
     LocalUpstream *leastLoaded(const std::string &service);
     const std::map<std::string, LocalUpstream> &all() const
@@ -63,11 +67,16 @@
 private:
     void publish();
     bool isLate(const Announcement &announcement) const;
-    void markOthersGone(const Announcement &announcement);
+    /// Whether a late announcement comes from a start that is newer than the known ones, as the clock was set back.
+    bool isNewerDespiteStartTime(const Announcement &announcement, Millis now);
+    /// Takes over the start that a late announcement names as the one that its id's deregistration has ended.
+    void learnEndedStart(const Announcement &announcement);
+    void markOthersGone(const Announcement &announcement, bool startTimeMisleads);
 
     std::size_t m_waitingPerSlot;
     bool m_expires;
     std::map<std::string, LocalUpstream> m_upstreams;
+    StartChallenge m_startChallenge;
     std::map<std::string, UpstreamInfo> m_restored; ///< by id, as known to an earlier start of this gate
     ChangeHandler m_onChange;
 };
--- a/packages/daemon/test/noderecord_test.cpp
+++ b/packages/daemon/test/noderecord_test.cpp
@@ -30,6 +30,18 @@
     }
 }
 
+// The record of a deregistration that names only the id was dropped when it was read, so a restart forgot it.
+TEST(NodeRecordTest, DeregistrationWithoutServiceIsRead)
+{
+    StoredObject record;
+    record.value = nodeRecord({}, {}, {{"i-1", "", UpstreamState::Gone, 1, 500, 0}});
+    const auto upstreams = leavingUpstreams(record);
+    ASSERT_EQ(upstreams.size(), 1U);
+    EXPECT_EQ(upstreams.front().id, "i-1");
+    EXPECT_EQ(upstreams.front().state, UpstreamState::Gone);
+    EXPECT_EQ(upstreams.front().born, 500U);
+}
+
 TEST(NodeRecordTest, OddListOfLeavingUpstreamsIsIgnored)
 {
     for (const char *odd : {"7", "null", "\"x\"", "{}"}) {
--- a/packages/daemon/test/upstreamregistry_test.cpp
+++ b/packages/daemon/test/upstreamregistry_test.cpp
@@ -41,6 +41,81 @@
     UpstreamRegistry m_registry{4, false};
 };
 
+/// Time of day at which a deregistration arrives.
+constexpr std::uint64_t ENDED_AT = 500;
+
+// After a restart of all daemons an acknowledged deregistration was undone by a heartbeat that had been sent before it.
+TEST_F(UpstreamRegistryTest, LateAnnouncementDoesNotRevertDeregistrationOfAnUnknownStart)
+{
+    Announcement deregistration = makeDeregistration("a");
+    deregistration.endedAt = ENDED_AT;
+    EXPECT_EQ(announce(deregistration), AnnounceResult::Changed);
+    EXPECT_EQ(announce(makeAnnouncement("a", UpstreamState::Ready, 6, 100)), AnnounceResult::Late);
+    EXPECT_EQ(announce(makeAnnouncement("a", UpstreamState::Ready, 7, 100)), AnnounceResult::Late);
+    EXPECT_EQ(stateOf("a"), UpstreamState::Gone);
+    EXPECT_EQ(announce(makeAnnouncement("a", UpstreamState::Ready, 1, ENDED_AT + 1)), AnnounceResult::Changed)
+        << "a new start";
+}
+
+TEST_F(UpstreamRegistryTest, DeregistrationEndsAStartWhoseFirstAnnouncementIsLate)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 9, 100));
+    Announcement deregistration = makeDeregistration("a");
+    deregistration.endedAt = ENDED_AT;
+    announce(deregistration);
+    EXPECT_EQ(announce(makeAnnouncement("a", UpstreamState::Ready, 1, 200)), AnnounceResult::Late);
+    EXPECT_EQ(stateOf("a"), UpstreamState::Gone);
+}
+
+TEST_F(UpstreamRegistryTest, RestoredDeregistrationOfAnUnknownStartEndsEarlierStarts)
+{
+    Announcement deregistration = makeDeregistration("a");
+    deregistration.endedAt = ENDED_AT;
+    announce(deregistration);
+    UpstreamRegistry restarted(4, false);
+    restarted.announce(makeAnnouncement("a", UpstreamState::Ready, 6, 100), Millis(1));
+    restarted.restore(m_registry.infos().front());
+    EXPECT_FALSE(restarted.isReady("a")) << "announced before the record was read";
+    EXPECT_EQ(restarted.announce(makeAnnouncement("a", UpstreamState::Ready, 7, 100), Millis(2)), AnnounceResult::Late);
+    EXPECT_EQ(restarted.announce(makeAnnouncement("a", UpstreamState::Ready, 1, ENDED_AT + 1), Millis(3)),
+              AnnounceResult::Changed);
+}
+
+// After the clock was set back between two starts, the second one's announcements were ignored for good.
+TEST_F(UpstreamRegistryTest, StartAfterABackwardClockStepIsUsedAndDrained)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 4, 2000));
+    AnnounceResult result = AnnounceResult::Late;
+    std::uint64_t sequence = 1;
+    for (Millis now(1500); now <= Millis(6000); now = now + Millis(1500)) {
+        result = m_registry.announce(makeAnnouncement("a", UpstreamState::Ready, sequence++, 500), now);
+    }
+    EXPECT_EQ(result, AnnounceResult::Changed);
+    EXPECT_EQ(m_registry.announce(makeAnnouncement("a", UpstreamState::Draining, sequence, 500), Millis(7500)),
+              AnnounceResult::Changed);
+    EXPECT_EQ(m_registry.announce(makeAnnouncement("a", UpstreamState::Ready, sequence + 1, 500), Millis(9000)),
+              AnnounceResult::Late);
+    EXPECT_FALSE(m_registry.isReady("a"));
+}
+
+TEST_F(UpstreamRegistryTest, NewIdAfterABackwardClockStepReplacesTheOldOne)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 4, 2000));
+    std::uint64_t sequence = 1;
+    for (Millis now(1500); now <= Millis(7500); now = now + Millis(1500)) {
+        m_registry.announce(makeAnnouncement("b", UpstreamState::Ready, sequence++, 500), now);
+    }
+    EXPECT_TRUE(m_registry.isReady("b"));
+    EXPECT_FALSE(m_registry.isReady("a"));
+    m_registry.restore({"b", "sicil", UpstreamState::Ready, 5, 1900, 3}); // as peers still remember it
+    EXPECT_EQ(m_registry.announce(makeAnnouncement("b", UpstreamState::Ready, sequence, 500), Millis(9000)),
+              AnnounceResult::Unchanged);
+    EXPECT_EQ(m_registry.announce(makeAnnouncement("a", UpstreamState::Ready, 5, 2000), Millis(9500)),
+              AnnounceResult::Changed)
+        << "the first one was only silent";
+    EXPECT_FALSE(m_registry.isReady("b"));
+}
+
 TEST_F(UpstreamRegistryTest, LateAnnouncementDoesNotRevertDraining)
 {
     announce(makeAnnouncement("a", UpstreamState::Ready, 1));
