Let daemons survive overlapping restarts, early signals and a log without reader

Causes, reproduced with real processes under load: bind failed while the earlier process still held an address (three times in one run of 45 s); SIGHUP before its handler was installed ended the process (two times in another). Found on the way: closeLog() destroyed the logger that the control plane's threads still use; a write to standard output without a reader raised SIGPIPE; a stop waited for good for the reader of a full pipe.

Change: listeners wait up to 10 s for their address, and the control plane starts last; both signals are ignored from the start of main; the logger stays, and the wait for its queue is bounded.

--- a/packages/daemon/main/main.cpp
+++ b/packages/daemon/main/main.cpp
@@ -11,6 +11,7 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -65,6 +66,8 @@
 
 int main(int argc, char **argv)
 {
+    std::signal(SIGHUP, SIG_IGN); // the settings may change before the daemon handles the signal
+    std::signal(SIGPIPE, SIG_IGN); // the reader of standard output may end
     CLI::App app("mustardpond: router and gate for the backend servers of one host");
     std::string settings;
     std::string checked;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -65,7 +65,7 @@
     , m_path(std::move(path))
     , m_settingsText(readTextFile(m_path))
     , m_incarnation(newIncarnation(m_random))
-    , m_signals(m_context, SIGTERM, SIGINT)
+    , m_signals(m_context)
     , m_hangup(m_context, SIGHUP)
 {
     auto gate = std::make_shared<Gate>(m_context, m_clock, m_incarnation, m_settings, dialects.upstream);
@@ -112,15 +112,18 @@
         last = m_clock.now();
         control->requestRefusal(refusalFor(*router->view().config, m_settings.region, service, workClass));
     });
-    m_kernel.add(CONTROL, control);
+    // The control plane announces this process to others, so it starts when all addresses are bound.
     m_kernel.add(GATE, gate);
     m_kernel.add(ROUTER, router);
     m_kernel.add(LOCAL, local);
+    m_kernel.add(CONTROL, control);
 }
 
 void Daemon::run()
 {
-    m_kernel.start();
+    m_kernel.start(); // until it returns, nothing has been accepted, and a SIGTERM may end the process at once
+    m_signals.add(SIGTERM);
+    m_signals.add(SIGINT);
     logEvent(Event::Started,
              {{"node", m_settings.node},
               {"caller", toString(m_settings.caller)},
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -48,9 +48,10 @@
     RequestAnswered = 705,
     SettingsReloaded = 104,
     ReadyChanged = 105,
+    AddressBusy = 106,
 };
 
-constexpr EnumTable<Event, 38> EVENT_NAMES = {{
+constexpr EnumTable<Event, 39> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -89,6 +90,7 @@
     {Event::RequestAnswered, "request-answered"},
     {Event::SettingsReloaded, "settings-reloaded"},
     {Event::ReadyChanged, "ready-changed"},
+    {Event::AddressBusy, "address-busy"},
 }};
 
 enum class LogFormat { Text, Json };
@@ -99,7 +101,8 @@
 /// blocks. Until this is called, events go to spdlog's default logger.
 void openLog(LogFormat format, const std::string &node);
 
-/// Writes the queued lines and shuts the logger down.
+/// Waits until the queued lines are written, for 200 ms at most, as nobody may read standard output. Other threads may
+/// log at the same time and afterwards.
 void closeLog();
 
 /// Logs an event with its fields, a JSON object. Events that an operator should look at are logged as warnings.
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -7,11 +7,16 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <chrono>
+#include <thread>
+
 namespace mustardpond {
 
 namespace {
 
 constexpr std::size_t LOG_QUEUE_LINES = 8192;
+constexpr std::chrono::milliseconds CLOSE_TIMEOUT{200};
+constexpr std::chrono::milliseconds CLOSE_CHECK_INTERVAL{5};
 
 struct LogState {
     LogFormat format = LogFormat::Text;
@@ -28,6 +33,7 @@
 {
     switch (event) {
     case Event::SettingsInvalid:
+    case Event::AddressBusy:
     case Event::UpstreamEjected:
     case Event::EjectionHeldByFloor:
     case Event::SharedCause:
@@ -79,7 +85,13 @@
 
 void closeLog()
 {
-    spdlog::shutdown();
+    // spdlog::shutdown() would destroy the logger while the threads of the control plane still use it.
+    const auto pool = spdlog::thread_pool();
+    const auto deadline = std::chrono::steady_clock::now() + CLOSE_TIMEOUT;
+    while (pool && pool->queue_size() > 0 && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(CLOSE_CHECK_INTERVAL);
+    }
+    std::this_thread::sleep_for(CLOSE_CHECK_INTERVAL); // for the line that the writer has taken from the queue last
 }
 
 void logEvent(Event event, const nlohmann::json &fields)
--- a/packages/foundation/test/events_test.cpp
+++ b/packages/foundation/test/events_test.cpp
@@ -40,6 +40,15 @@
     EXPECT_NO_THROW(logEvent(Event::ObjectInvalid, {{"cause", "bytes \xff\xfe"}}));
 }
 
+// Threads of the control plane log while a stop ends; the logger was gone then, and the process crashed.
+TEST(EventsTest, LoggingGoesOnAfterTheLogIsClosed)
+{
+    openLog(LogFormat::Json, "n1");
+    logEvent(Event::Stopped, {{"node", "n1"}});
+    closeLog();
+    logEvent(Event::StoreUnreachable, {{"cause", "test"}});
+}
+
 } // namespace
 
 } // namespace mustardpond
--- a/packages/net/include/net/listener.h
+++ b/packages/net/include/net/listener.h
@@ -9,6 +9,10 @@
 
 namespace mustardpond {
 
+/// For an address that another socket still uses: an earlier process that is being stopped, or an outgoing connection
+/// that was given the port.
+constexpr Millis BIND_TIMEOUT{10000};
+
 class Listener : public std::enable_shared_from_this<Listener>
 {
 public:
@@ -17,7 +21,8 @@
     /// @param handler handles one connection; an exception that it throws closes only that connection
     Listener(asio::io_context &context, Endpoint endpoint, Handler handler);
 
-    /// Throws boost::system::system_error if the address cannot be used.
+    /// Blocks while the address is in use. Throws boost::system::system_error if it cannot be used, or not within
+    /// BIND_TIMEOUT.
     void start();
     /// Accepts the connections in the backlog, then stops.
     void drain(const Yield &yield);
@@ -30,6 +35,8 @@
     }
 
 private:
+    /// Returns false if the address is in use.
+    bool tryListen();
     void acceptLoop(const Yield &yield);
     void spawnHandler(tcp::socket socket);
     void runHandler(tcp::socket socket, const Yield &yield);
--- a/packages/net/src/listener.cpp
+++ b/packages/net/src/listener.cpp
@@ -5,11 +5,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+#include <thread>
+
 namespace mustardpond {
 
 namespace {
 
 constexpr Millis ACCEPT_RETRY_DELAY{50};
+constexpr Millis BIND_RETRY_DELAY{50};
 
 } // namespace
 
@@ -22,13 +26,38 @@
 }
 
 void Listener::start()
+{
+    const auto deadline = std::chrono::steady_clock::now() + toDuration(BIND_TIMEOUT);
+    for (bool waited = false; !tryListen(); waited = true) {
+        if (!waited) {
+            logEvent(Event::AddressBusy, {{"address", toString(m_endpoint)}, {"timeoutMs", BIND_TIMEOUT.value}});
+        }
+        if (std::chrono::steady_clock::now() >= deadline) {
+            throw boost::system::system_error(asio::error::address_in_use, toString(m_endpoint));
+        }
+        std::this_thread::sleep_for(toDuration(BIND_RETRY_DELAY));
+    }
+    asio::spawn(m_context, [self = shared_from_this()](const Yield &yield) { self->acceptLoop(yield); });
+}
+
+bool Listener::tryListen()
 {
     const tcp::endpoint address(asio::ip::make_address(m_endpoint.address), m_endpoint.port);
     m_acceptor.open(address.protocol());
     m_acceptor.set_option(tcp::acceptor::reuse_address(true));
-    m_acceptor.bind(address);
-    m_acceptor.listen();
-    asio::spawn(m_context, [self = shared_from_this()](const Yield &yield) { self->acceptLoop(yield); });
+    ErrorCode error;
+    m_acceptor.bind(address, error);
+    if (!error) {
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error == asio::error::address_in_use) {
+        m_acceptor.close();
+        return false;
+    }
+    if (error) {
+        throw boost::system::system_error(error, toString(m_endpoint));
+    }
+    return true;
 }
 
 void Listener::drain(const Yield &yield)
