--- a/packages/daemon/src/control/storeactor.cpp
+++ b/packages/daemon/src/control/storeactor.cpp
@@ -74,8 +74,8 @@
             logEvent(Event::RefusalRequested, {{"refusal", object.name}, {"director", refusal.terms.director}});
         } catch (const Conflict &) {
             // The refusal has already been requested.
-        } catch (const StoreOutage &error) {
-            setReachable(false, error.what());
+        } catch (const std::exception &error) {
+            setReachable(false, error.what()); // an exception would end the actor, and with it the watch
         }
     }
 
