Read the rest of a body for 2 s after an early answer

Cause: the router closed a connection 0.5 s after an answer that it gave before the caller had sent its whole body. Closing with unread bytes resets, so a caller that was still sending lost the answer.

Change: the rest is read for 2 s, in smaller pieces.

Evidence: platform_earlyanswer_test (a body sent over 1.2 s) failed on the code before with a reset connection and passes now.

--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -25,7 +25,8 @@
 constexpr const char OPERATIONS_PATH[] = "/-/operations";
 constexpr std::size_t READ_BUFFER_BYTES = 64 * KIB;
 constexpr std::size_t HEAD_READ_BYTES = 1 * KIB;
-constexpr Millis DRAIN_TIMEOUT{500};
+constexpr std::size_t DRAIN_READ_BYTES = 16 * KIB;
+constexpr Millis DRAIN_TIMEOUT{2000}; ///< for a caller to send the rest of a body that was answered early
 constexpr Millis OPEN_TIMEOUT{5000};
 constexpr Millis MIN_RETRY_AFTER{200};
 constexpr Millis PROBLEM_RETRY_AFTER{1000}; ///< sent with every answer of replyProblem()
@@ -104,7 +105,7 @@
     // Closing with unread bytes would reset the connection and could destroy the last reply.
     ErrorCode error;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    std::vector<char> scratch(READ_BUFFER_BYTES);
+    std::vector<char> scratch(DRAIN_READ_BYTES);
     m_stream.expires_after(toDuration(DRAIN_TIMEOUT));
     while (!error) {
         m_stream.async_read_some(asio::buffer(scratch), yield[error]);
