--- a/packages/daemon/src/control/recordactor.cpp
+++ b/packages/daemon/src/control/recordactor.cpp
@@ -76,7 +76,8 @@
             logEvent(Event::StoreUnreachable, {{"cause", error.what()}});
             return false;
         } catch (const std::exception &error) {
-            // The answer is not as the platform documents it. An exception would end the actor, and with it all records.
+            // The answer is not as the platform documents it. An exception would end the actor, and with it all
+            // records.
             logEvent(Event::StoreUnreachable, {{"cause", error.what()}});
             return false;
         }
--- a/packages/decision/include/decision/startchallenge.h
+++ b/packages/decision/include/decision/startchallenge.h
@@ -7,9 +7,9 @@
 
 namespace mustardpond {
 
-/// The starts of a backend server are ordered by their start times, which come from the time of day and mislead after it
-/// was set back. An ended start can only be heard of by announcements that arrive late, for some seconds. A start that
-/// goes on announcing itself while the known one is silent is therefore the newer one. Answers the load of late
+/// The starts of a backend server are ordered by their start times, which come from the time of day and mislead after
+/// it was set back. An ended start can only be heard of by announcements that arrive late, for some seconds. A start
+/// that goes on announcing itself while the known one is silent is therefore the newer one. Answers the load of late
 /// announcements and clock steps, one announcement at a time.
 class StartChallenge
 {
