--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -26,7 +26,8 @@
 constexpr std::size_t READ_BUFFER_BYTES = 64 * KIB;
 constexpr std::size_t HEAD_READ_BYTES = 1 * KIB;
 constexpr std::size_t DRAIN_READ_BYTES = 16 * KIB;
-constexpr Millis DRAIN_TIMEOUT{2000}; ///< for a caller to send the rest of a body that was answered early
+constexpr Millis DRAIN_TIMEOUT{10000}; ///< for a caller to send the rest of a body that was answered early
+constexpr Millis DRAIN_IDLE_TIMEOUT{2000}; ///< without data from the caller
 constexpr Millis OPEN_TIMEOUT{5000};
 constexpr Millis MIN_RETRY_AFTER{200};
 constexpr Millis PROBLEM_RETRY_AFTER{1000}; ///< sent with every answer of replyProblem()
@@ -106,8 +107,9 @@
     ErrorCode error;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
     std::vector<char> scratch(DRAIN_READ_BYTES);
-    m_stream.expires_after(toDuration(DRAIN_TIMEOUT));
-    while (!error) {
+    const Millis deadline = m_router.clock().now() + DRAIN_TIMEOUT;
+    while (!error && m_router.clock().now() < deadline) {
+        m_stream.expires_after(toDuration(DRAIN_IDLE_TIMEOUT));
         m_stream.async_read_some(asio::buffer(scratch), yield[error]);
     }
 }
