Apply the first drain of a start at once, whatever its start time

A late heartbeat of the start before it undid a drain that had been acknowledged.

Cause: a start with an earlier start time was not believed until it had announced itself for 4 s, its drain neither; and the start that it replaced was still the newer one by its start time.

Change: a report of leaving from a start that is not known to leave is applied and acknowledged at once. Announcements of the replaced start are late until it has gone on for 4 s, also for peers and after a restart of the daemon.

--- a/packages/daemon/src/gate/upstreamregistry.cpp
+++ b/packages/daemon/src/gate/upstreamregistry.cpp
@@ -65,8 +65,33 @@
 
 } // namespace
 
+bool UpstreamRegistry::isFromReplacedStart(const Announcement &announcement) const
+{
+    const auto known = m_upstreams.find(announcement.id);
+    return announcement.born != 0 && known != m_upstreams.end() && known->second.replaced.born == announcement.born;
+}
+
+bool UpstreamRegistry::isFirstReportOfLeaving(const Announcement &announcement) const
+{
+    if (announcement.born == 0 || !isLeaving(announcement.state)) {
+        return false;
+    }
+    const auto known = m_upstreams.find(announcement.id);
+    if (known != m_upstreams.end()) {
+        const LocalUpstream &upstream = known->second;
+        return !isLeaving(upstream.announced.state) && upstream.announced.born != announcement.born
+            && !(isFromReplacedStart(announcement) && isLeaving(upstream.replaced.state));
+    }
+    const auto restored = m_restored.find(announcement.id);
+    return restored == m_restored.end()
+        || (!isLeaving(restored->second.state) && restored->second.born != announcement.born);
+}
+
 bool UpstreamRegistry::isLate(const Announcement &announcement) const
 {
+    if (isFromReplacedStart(announcement)) {
+        return true;
+    }
     const auto known = m_upstreams.find(announcement.id);
     if (known != m_upstreams.end()) {
         const Announcement &before = known->second.announced;
@@ -100,7 +125,8 @@
     const auto restored = m_restored.find(announcement.id);
     const bool isKnownStart = (known != m_upstreams.end() && known->second.announced.born == announcement.born)
         || (restored != m_restored.end() && restored->second.born == announcement.born);
-    if (announcement.born == 0 || announcement.sequence == 0 || isKnownStart) {
+    const bool mayBeNewer = !isKnownStart || isFromReplacedStart(announcement);
+    if (announcement.born == 0 || announcement.sequence == 0 || !mayBeNewer) {
         return false;
     }
     StartChallenge::Claim claim{announcement.born, announcement.sequence, Millis()};
@@ -122,7 +148,8 @@
 AnnounceResult UpstreamRegistry::announce(const Announcement &announcement, Millis now)
 {
     const bool late = isLate(announcement);
-    if (late && !isNewerDespiteStartTime(announcement, now)) {
+    const bool newerDespiteStartTime = late && isNewerDespiteStartTime(announcement, now);
+    if (late && !newerDespiteStartTime && !isFirstReportOfLeaving(announcement)) {
         learnEndedStart(announcement);
         logEvent(Event::AnnouncementLate,
                  {{"upstream", announcement.id},
@@ -131,7 +158,7 @@
                   {"state", nameOf(UPSTREAM_STATE_NAMES, announcement.state)}});
         return AnnounceResult::Late;
     }
-    markOthersGone(announcement, late);
+    markOthersGone(announcement, newerDespiteStartTime);
     const auto found = m_upstreams.find(announcement.id);
     if (found == m_upstreams.end()) {
         const auto waiting = announcement.slots * m_waitingPerSlot;
@@ -143,6 +170,9 @@
         if (restored != m_restored.end() && isDeregistrationOnly(announcement)) {
             completeDeregistration(added.announced, restored->second);
         }
+        if (late && restored != m_restored.end()) {
+            added.replaced = {restored->second.born, restored->second.state};
+        }
         logAnnouncement(added.announced);
         publish();
         return AnnounceResult::Changed;
@@ -151,6 +181,9 @@
     const Announcement before = known.announced;
     const bool changed = before.state != announcement.state || before.slots != announcement.slots
         || before.service != announcement.service || before.born != announcement.born;
+    if (announcement.born != 0 && announcement.born != before.born) {
+        known.replaced = {before.born, known.superseded ? UpstreamState::Ready : before.state};
+    }
     known.lastAnnouncedAt = now;
     known.announced = announcement;
     known.superseded = false;
@@ -160,8 +193,10 @@
         known.announced.service = before.service;
         known.announced.address = before.address;
         known.announced.slots = before.slots;
-        known.announced.born = std::max(before.born, announcement.born);
-        known.announced.sequence = std::max(before.sequence, announcement.sequence);
+        if (announcement.born == 0) {
+            known.announced.born = before.born;
+            known.announced.sequence = std::max(before.sequence, announcement.sequence);
+        }
         known.announced.endedAt = std::max(before.endedAt, announcement.endedAt);
     }
     known.warmupUntil = now + announcement.warmupRemaining;
@@ -262,8 +297,14 @@
     std::vector<UpstreamInfo> list;
     for (const auto &[id, upstream] : m_upstreams) {
         const Announcement &announced = upstream.announced;
-        const bool gone = announced.state == UpstreamState::Gone;
-        const std::uint64_t born = gone ? std::max(announced.born, announced.endedAt) : announced.born;
+        std::uint64_t born = announced.born;
+        if (announced.state == UpstreamState::Gone) {
+            born = std::max(born, announced.endedAt);
+        }
+        if (isLeaving(announced.state)) {
+            // After a restart, a late announcement of the replaced start must not make the upstream ready again.
+            born = std::max(born, upstream.replaced.born);
+        }
         list.push_back({id, announced.service, announced.state, announced.slots, born, announced.sequence});
     }
     for (const auto &[id, info] : m_restored) {
--- a/packages/daemon/src/gate/upstreamregistry.h
+++ b/packages/daemon/src/gate/upstreamregistry.h
@@ -14,6 +14,12 @@
 
 namespace mustardpond {
 
+/// A start of an upstream that a later one under the same id has replaced.
+struct ReplacedStart {
+    std::uint64_t born = 0; ///< start time in Unix milliseconds; 0 if there is none
+    UpstreamState state = UpstreamState::Ready; ///< last known
+};
+
 struct LocalUpstream {
     Announcement announced;
     Millis lastAnnouncedAt;
@@ -21,6 +27,7 @@
     std::shared_ptr<SlotQueue> queue;
     bool superseded = false; ///< gone since another upstream took its address, not by its own announcement
     bool startTimeMisleads = false; ///< newer than the other known starts, although its start time is earlier
+    ReplacedStart replaced;
 };
 
 enum class AnnounceResult : std::uint8_t {
@@ -67,6 +74,11 @@
 private:
     void publish();
     bool isLate(const Announcement &announcement) const;
+    /// Whether an announcement comes from the start that the known one has replaced.
+    bool isFromReplacedStart(const Announcement &announcement) const;
+    /// Whether a late announcement reports that a start leaves which is not known to leave. It may come from the
+    /// current start, after the clock was set back, and its sender stops only once it is acknowledged.
+    bool isFirstReportOfLeaving(const Announcement &announcement) const;
     /// Whether a late announcement comes from a start that is newer than the known ones, as the clock was set back.
     bool isNewerDespiteStartTime(const Announcement &announcement, Millis now);
     /// Takes over the start that a late announcement names as the one that its id's deregistration has ended.
--- a/packages/daemon/test/upstreamregistry_test.cpp
+++ b/packages/daemon/test/upstreamregistry_test.cpp
@@ -98,6 +98,112 @@
     EXPECT_FALSE(m_registry.isReady("a"));
 }
 
+// A drain was refused with 503 until its start had announced itself for 4 s: a start that left sooner was never
+// acknowledged, and its running requests were cut.
+TEST_F(UpstreamRegistryTest, DrainAfterABackwardClockStepIsAppliedAtOnce)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 4, 2000));
+    EXPECT_EQ(announce(makeAnnouncement("a", UpstreamState::Draining, 1, 500)), AnnounceResult::Changed);
+    EXPECT_FALSE(m_registry.isReady("a"));
+    EXPECT_EQ(announce(makeAnnouncement("a", UpstreamState::Ready, 5, 2000)), AnnounceResult::Late)
+        << "a late announcement of the ended start";
+    EXPECT_FALSE(m_registry.isReady("a"));
+    EXPECT_EQ(announce(makeAnnouncement("a", UpstreamState::Ready, 1, 600)), AnnounceResult::Changed) << "a new start";
+}
+
+TEST_F(UpstreamRegistryTest, StartThatGoesOnIsUsedAfterALateDrainOfAnEndedOne)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 4, 2000));
+    announce(makeAnnouncement("a", UpstreamState::Draining, 7, 500));
+    std::uint64_t sequence = 5;
+    for (Millis now(1500); now <= Millis(6000); now = now + Millis(1500)) {
+        m_registry.announce(makeAnnouncement("a", UpstreamState::Ready, sequence++, 2000), now);
+    }
+    EXPECT_TRUE(m_registry.isReady("a"));
+    EXPECT_EQ(m_registry.announce(makeAnnouncement("a", UpstreamState::Draining, 8, 500), Millis(6100)),
+              AnnounceResult::Late)
+        << "the same start leaves only once";
+    EXPECT_TRUE(m_registry.isReady("a"));
+}
+
+TEST_F(UpstreamRegistryTest, LateDrainOfAStartKnownToHaveLeftChangesNothing)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 4, 100));
+    announce(makeAnnouncement("a", UpstreamState::Draining, 5, 100));
+    announce(makeAnnouncement("a", UpstreamState::Ready, 1, 200));
+    EXPECT_EQ(announce(makeAnnouncement("a", UpstreamState::Draining, 6, 100)), AnnounceResult::Late);
+    EXPECT_TRUE(m_registry.isReady("a"));
+}
+
+// After a drain had been acknowledged, a late announcement of the start before it made the upstream ready again.
+TEST_F(UpstreamRegistryTest, LateAnnouncementOfTheReplacedStartDoesNotRevertADrain)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 4, 2000));
+    std::uint64_t sequence = 1;
+    for (Millis now(1500); now <= Millis(6000); now = now + Millis(1500)) {
+        m_registry.announce(makeAnnouncement("a", UpstreamState::Ready, sequence++, 500), now);
+    }
+    EXPECT_EQ(m_registry.announce(makeAnnouncement("a", UpstreamState::Draining, sequence, 500), Millis(7500)),
+              AnnounceResult::Changed);
+    EXPECT_EQ(m_registry.announce(makeAnnouncement("a", UpstreamState::Ready, 5, 2000), Millis(8000)),
+              AnnounceResult::Late);
+    EXPECT_FALSE(m_registry.isReady("a"));
+}
+
+TEST_F(UpstreamRegistryTest, DrainAfterABackwardClockStepIsAppliedAfterARestart)
+{
+    m_registry.restore({"a", "sicil", UpstreamState::Ready, 5, 2000, 4});
+    EXPECT_EQ(announce(makeAnnouncement("a", UpstreamState::Draining, 3, 500)), AnnounceResult::Changed);
+    EXPECT_EQ(announce(makeAnnouncement("a", UpstreamState::Ready, 5, 2000)), AnnounceResult::Late);
+    EXPECT_FALSE(m_registry.isReady("a"));
+    std::uint64_t sequence = 6;
+    for (Millis now(1500); now <= Millis(7500); now = now + Millis(1500)) {
+        m_registry.announce(makeAnnouncement("a", UpstreamState::Ready, sequence++, 2000), now);
+    }
+    EXPECT_TRUE(m_registry.isReady("a")) << "the restored start was only silent";
+}
+
+TEST_F(UpstreamRegistryTest, RestoredDrainAfterABackwardClockStepEndsTheReplacedStart)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 4, 2000));
+    announce(makeAnnouncement("a", UpstreamState::Draining, 3, 500));
+    UpstreamRegistry restarted(4, false);
+    restarted.restore(m_registry.infos().front());
+    EXPECT_EQ(restarted.announce(makeAnnouncement("a", UpstreamState::Ready, 5, 2000), Millis(2)),
+              AnnounceResult::Late);
+    EXPECT_EQ(restarted.announce(makeAnnouncement("a", UpstreamState::Ready, 2, 500), Millis(3)), AnnounceResult::Late);
+    EXPECT_FALSE(restarted.isReady("a"));
+}
+
+TEST_F(UpstreamRegistryTest, DrainOfANewIdAfterABackwardClockStepIsKept)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 4, 2000));
+    EXPECT_EQ(announce(makeAnnouncement("b", UpstreamState::Draining, 3, 500)), AnnounceResult::Changed);
+    EXPECT_TRUE(m_registry.isReady("a"));
+    UpstreamRegistry restarted(4, false);
+    for (const UpstreamInfo &info : m_registry.infos()) {
+        restarted.restore(info);
+    }
+    EXPECT_EQ(restarted.announce(makeAnnouncement("b", UpstreamState::Ready, 2, 500), Millis(2)), AnnounceResult::Late);
+}
+
+TEST_F(UpstreamRegistryTest, StartThatGoesOnIsUsedAfterALateDeregistrationOfAnEndedOne)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 4, 2000));
+    Announcement deregistration = makeDeregistration("a");
+    deregistration.born = 500;
+    deregistration.sequence = 9;
+    EXPECT_EQ(announce(deregistration), AnnounceResult::Changed);
+    EXPECT_FALSE(m_registry.isReady("a"));
+    std::uint64_t sequence = 5;
+    for (Millis now(1500); now <= Millis(7500); now = now + Millis(1500)) {
+        m_registry.announce(makeAnnouncement("a", UpstreamState::Ready, sequence++, 2000), now);
+    }
+    EXPECT_TRUE(m_registry.isReady("a"));
+    EXPECT_EQ(m_registry.announce(makeAnnouncement("a", UpstreamState::Ready, sequence, 2000), Millis(9000)),
+              AnnounceResult::Unchanged);
+}
+
 TEST_F(UpstreamRegistryTest, NewIdAfterABackwardClockStepReplacesTheOldOne)
 {
     announce(makeAnnouncement("a", UpstreamState::Ready, 4, 2000));
