Reserve another upstream before a slow run is given up

Cause: after three usual service times the router closed the run's channel and only then looked for another upstream. Where none had a free slot, the request ended.

Change: the run goes on while a slot is reserved elsewhere and is given up when the slot is granted. An answer that begins meanwhile withdraws the reservation. A planned stop, an empty retry budget or a search without result let it go on. The rule is SlowRunState in packages/decision. The daemon's limits stay.

--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -1,11 +1,13 @@
 #include "dispatch.h"
 
+#include "answerwatch.h"
 #include "bodydigest.h"
 #include "httprules.h"
 #include "regionbytecounter.h"
 #include "silencewatch.h"
 
 #include "decision/slotqueue.h"
+#include "decision/slowrun.h"
 #include "decision/waitlimit.h"
 
 #include "foundation/errors.h"
@@ -35,9 +37,6 @@
 constexpr Millis MIN_RETRY_AFTER{200};
 constexpr Millis GATE_RESPONSE_TIMEOUT{150}; ///< to connect or for the first frame, beyond the usual round trip
 constexpr Millis OTHER_REGION_ROUND_TRIP{30}; ///< to another region and back, with a margin for jitter
-constexpr double ABANDON_SERVICE_TIME_RATIO = 3; ///< of the usual service time, after which an attempt is given up
-constexpr Millis MIN_ABANDON_TIMEOUT{350};
-constexpr double ABANDON_TARGET_RATIO = 0.5; ///< of the latency target, before which no attempt is given up
 
 /// Points to the channel in use during the lifetime of this guard, so that interrupt() can close it.
 class CurrentChannelGuard
@@ -88,6 +87,7 @@
     } else {
         runOperation(yield);
     }
+    endSlowRun();
     return std::move(m_result);
 }
 
@@ -98,7 +98,14 @@
         if (isPastStopDeadline()) {
             return finishStopped();
         }
-        const UpstreamRef *chosen = chooseUpstream();
+        const UpstreamRef *chosen = isSearchOver() ? nullptr : chooseUpstream();
+        if (!chosen && m_slowRun && (isSearchOver() || isUnservable())) {
+            const UpstreamRef slow = m_slowRun->ref;
+            if (evaluateAttempt(resumeSlowRun(yield), slow)) {
+                return;
+            }
+            continue;
+        }
         if (!chosen) {
             if (endRound(yield)) {
                 return;
@@ -112,7 +119,7 @@
         }
     }
     m_result.timedOut = true;
-    if (m_maybeRan) {
+    if (mayHaveRun()) {
         return finishUnknown("no answer came before the deadline");
     }
     finishNotRun(NotRunReason::Deadline, "no upstream could take the request before the deadline");
@@ -172,7 +179,7 @@
     limits.waited = now - m_startedAt;
     limits.timeLeft = remaining();
     limits.untilStop = m_shared.isStopping() ? *m_shared.stopAt - now : limits.timeLeft;
-    limits.committed = m_request.inner || m_maybeRan;
+    limits.committed = m_request.inner || mayHaveRun();
     return maxQueueWait(limits);
 }
 
@@ -187,7 +194,7 @@
 void Dispatch::refuse(const std::string &detail)
 {
     m_result.retryAfter = std::max(MIN_RETRY_AFTER, m_minWaitEstimate);
-    if (m_maybeRan) {
+    if (mayHaveRun()) {
         return finishUnknown(detail);
     }
     finishNotRun(NotRunReason::Busy, detail);
@@ -206,7 +213,7 @@
 void Dispatch::finishStopped()
 {
     m_result.retryAfter = MIN_RETRY_AFTER;
-    if (m_maybeRan) {
+    if (mayHaveRun()) {
         return finishUnknown("the daemon is stopping, and the request may have run");
     }
     finishNotRun(NotRunReason::Leaving, "the daemon is stopping, and the request has not run");
@@ -235,12 +242,16 @@
 
 bool Dispatch::evaluateAttempt(Attempt attempt, const UpstreamRef &ref)
 {
+    if (attempt.slow) {
+        m_tried = m_sentTo;
+        return false;
+    }
     const bool notRun = !attempt.failed && attempt.answer.outcome == wire::Outcome::NotRun;
     const bool notSent = attempt.failed && !attempt.sent;
     if (notRun || notSent) {
         logMove(attempt, ref);
         m_shared.metrics.addHandOver(m_request.service);
-        if (notRun && attempt.answer.reason == wire::NotRunReason::Quarantined && !m_maybeRan) {
+        if (notRun && attempt.answer.reason == wire::NotRunReason::Quarantined && !mayHaveRun()) {
             m_result.answer = std::move(attempt.answer);
             return true;
         }
@@ -332,9 +343,6 @@
     if (maxAttempts > 0 && static_cast<int>(m_sentTo.size()) >= maxAttempts) {
         return false;
     }
-    if (attempt.abandoned) {
-        return true; // receiveAnswer() has taken the retry from the budget
-    }
     return m_shared.table.retryBudget(m_request.service).tryConsumeRetry();
 }
 
@@ -424,50 +432,128 @@
 
 Dispatch::Attempt Dispatch::attemptOnce(const UpstreamRef &ref, bool freshChannel, const Yield &yield)
 {
-    Attempt attempt;
+    Run run;
+    run.ref = ref;
     ++m_result.gatesAsked;
-    AttemptStart start;
-    start.attempt = ++m_shared.lastRequestNumber;
-    start.upstream = ref.id;
-    start.workClass = m_request.workClass.name;
-    start.latencyTarget = m_request.workClass.latencyTarget;
-    const Millis startedAt = m_shared.clock.now();
+    run.start.attempt = ++m_shared.lastRequestNumber;
+    run.start.upstream = ref.id;
+    run.start.workClass = m_request.workClass.name;
+    run.start.latencyTarget = m_request.workClass.latencyTarget;
+    run.startedAt = m_shared.clock.now();
     const bool hasUpstream = !ref.id.empty();
     if (hasUpstream) {
-        m_shared.table.onStart(m_request.service, start, startedAt);
+        m_shared.table.onStart(m_request.service, run.start, run.startedAt);
     }
-    attempt.answer.request = start.attempt;
-    try {
+    run.attempt.answer.request = run.start.attempt;
+    progress(run, [&] {
         const Millis timeout(std::min(CONNECT_TIMEOUT.value, std::max(1.0, remaining().value)));
-        std::unique_ptr<FrameChannel> channel;
         if (hasUpstream) {
-            channel = openAndReserve(ref, attempt, yield);
+            run.channel = openAndReserve(ref, run.attempt, yield);
         } else {
-            channel = freshChannel ? m_shared.pool.connect(ref.gate, timeout, yield)
-                                   : m_shared.pool.acquire(ref.gate, timeout, yield);
+            run.channel = freshChannel ? m_shared.pool.connect(ref.gate, timeout, yield)
+                                       : m_shared.pool.acquire(ref.gate, timeout, yield);
+        }
+        if (run.attempt.reserved && m_slowRun && !replaceSlowRun()) {
+            run.attempt.withdrawn = true;
+            run.channel->close(); // the gate frees the slot
+            throw boost::system::system_error(asio::error::operation_aborted);
         }
-        if (!hasUpstream || attempt.reserved) {
-            const CurrentChannelGuard guard(m_currentChannel, *channel);
-            exchange(ref, *channel, attempt, yield);
+        if (!hasUpstream || run.attempt.reserved) {
+            exchange(run, yield);
+        }
+    });
+    return settle(std::move(run));
+}
+
+void Dispatch::progress(Run &run, const std::function<void()> &step)
+{
+    Attempt &attempt = run.attempt;
+    try {
+        step();
+        if (attempt.slow) {
+            return;
         }
         if (attempt.answer.streamed) {
-            m_result.channel = std::move(channel);
+            m_result.channel = std::move(run.channel);
         } else {
-            m_shared.pool.release(ref.gate, std::move(channel));
+            m_shared.pool.release(run.ref.gate, std::move(run.channel));
         }
+        return;
     } catch (const boost::system::system_error &error) {
-        attempt.failed = true;
         attempt.cause = error.what();
-        m_shared.pool.drop(ref.gate);
     } catch (const Exception &error) {
-        attempt.failed = true;
         attempt.cause = error.what();
-        m_shared.pool.drop(ref.gate);
     }
-    if (hasUpstream && !m_callerLeft) {
-        reportAttempt(ref, start, attempt, startedAt);
+    attempt.failed = true;
+    attempt.withdrawn = attempt.withdrawn || (!attempt.sent && isSearchOver());
+    if (!attempt.withdrawn) {
+        m_shared.pool.drop(run.ref.gate);
     }
-    return attempt;
+}
+
+Dispatch::Attempt Dispatch::settle(Run run)
+{
+    if (run.attempt.slow) {
+        m_slowRun = std::make_unique<Run>(std::move(run));
+        Attempt attempt;
+        attempt.slow = true;
+        return attempt;
+    }
+    if (!run.ref.id.empty() && !m_callerLeft) {
+        reportAttempt(run.ref, run.start, run.attempt, run.startedAt);
+    }
+    return std::move(run.attempt);
+}
+
+bool Dispatch::mayReplace(const Run &run) const
+{
+    SlowRunState state;
+    state.answerBegins = run.answerBegins;
+    state.stopping = m_shared.isStopping();
+    state.hasRetry = m_shared.table.retryBudget(m_request.service).hasRetry();
+    state.crashSuspect = isCrashSuspect();
+    return mayReplaceSlowRun(state);
+}
+
+bool Dispatch::replaceSlowRun()
+{
+    if (isSearchOver() || !m_shared.table.retryBudget(m_request.service).tryConsumeRetry()) {
+        return false;
+    }
+    m_slowRun->attempt.failed = true;
+    m_slowRun->attempt.cause = "slower than usual";
+    logMove(m_slowRun->attempt, m_slowRun->ref);
+    endSlowRun();
+    m_maybeRan = true;
+    m_result.retried = true;
+    m_shared.metrics.addRetry(m_request.service);
+    return true;
+}
+
+Dispatch::Attempt Dispatch::resumeSlowRun(const Yield &yield)
+{
+    Run run = std::move(*m_slowRun);
+    m_slowRun.reset();
+    run.attempt.slow = false;
+    progress(run, [&] {
+        const CurrentChannelGuard guard(m_currentChannel, *run.channel);
+        const bool crossesRegions = run.ref.distance == Distance::OtherRegion;
+        const RegionByteCounter counter(m_shared.metrics, m_request.organisation, *run.channel, crossesRegions);
+        receiveAnswer(run, yield);
+    });
+    return settle(std::move(run));
+}
+
+void Dispatch::endSlowRun()
+{
+    if (!m_slowRun) {
+        return;
+    }
+    m_slowRun->channel->close();
+    m_slowRun->attempt.slow = false;
+    m_slowRun->attempt.failed = true;
+    settle(std::move(*m_slowRun));
+    m_slowRun.reset();
 }
 
 std::unique_ptr<FrameChannel> Dispatch::openAndReserve(const UpstreamRef &ref, Attempt &attempt, const Yield &yield)
@@ -477,6 +563,9 @@
             attempt.reserved = reserveSlot(ref, *channel, attempt, yield);
             return channel;
         } catch (const boost::system::system_error &error) {
+            if (isSearchOver()) {
+                throw;
+            }
             // A reservation has no effect on the upstream, so it can be repeated when an idle connection has gone
             // silent or was closed.
             if (error.code() == beast::error::timeout) {
@@ -485,7 +574,7 @@
             m_shared.pool.drop(ref.gate);
         }
     }
-    if (isCancelledOrExpired()) {
+    if (isCancelledOrExpired() || isSearchOver()) {
         throw boost::system::system_error(asio::error::operation_aborted);
     }
     auto channel = m_shared.pool.connect(ref.gate, gateResponseTimeout(ref), yield);
@@ -496,6 +585,10 @@
 bool Dispatch::reserveSlot(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield)
 {
     const CurrentChannelGuard guard(m_currentChannel, channel);
+    const AnswerWatch watch(m_slowRun ? m_slowRun->channel.get() : nullptr, [this, &channel] {
+        m_slowRun->answerBegins = true;
+        channel.close();
+    });
     const std::uint64_t number = attempt.answer.request;
     channel.send(packMessage(reservation(ref, number)), SEND_TIMEOUT, yield);
     Millis timeout = gateResponseTimeout(ref);
@@ -553,69 +646,86 @@
     return reserve;
 }
 
-Millis Dispatch::abandonTimeout(const UpstreamRef &ref) const
+Millis Dispatch::slowTimeout(const UpstreamRef &ref) const
 {
     const Millis serviceTime = m_shared.table.classServiceTime(m_request.service, m_request.workClass.name);
-    const Millis target = m_request.workClass.latencyTarget;
-    // Without a known service time, no attempt is given up before the latency target.
-    const Millis minTimeout =
-        std::max(MIN_ABANDON_TIMEOUT, target * (serviceTime > Millis() ? ABANDON_TARGET_RATIO : 1));
-    return std::max(minTimeout, serviceTime * ABANDON_SERVICE_TIME_RATIO) + gateResponseTimeout(ref);
+    return slowRunTimeout({m_request.workClass.latencyTarget, serviceTime, gateResponseTimeout(ref)});
 }
 
-void Dispatch::exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield)
+void Dispatch::exchange(Run &run, const Yield &yield)
 {
-    const bool crossesRegions = ref.distance == Distance::OtherRegion;
+    FrameChannel &channel = *run.channel;
+    const CurrentChannelGuard guard(m_currentChannel, channel);
+    const bool crossesRegions = run.ref.distance == Distance::OtherRegion;
     const RegionByteCounter counter(m_shared.metrics, m_request.organisation, channel, crossesRegions);
-    const std::uint64_t number = attempt.answer.request;
-    const std::string bytes = packMessage(message(ref, number));
-    attempt.sent = true;
-    m_sentTo.insert(ref.id);
+    const std::uint64_t number = run.start.attempt;
+    const std::string bytes = packMessage(message(run.ref, number));
+    run.attempt.sent = true;
+    m_sentTo.insert(run.ref.id);
     channel.send(bytes, SEND_TIMEOUT, yield);
     if (m_request.source) {
-        sendStream(channel, number, attempt, yield);
-        if (attempt.answer.digest != 0) {
+        sendStream(channel, number, run.attempt, yield);
+        if (run.attempt.answer.digest != 0) {
             return;
         }
     }
-    auto answer = receiveAnswer(ref, channel, attempt, yield);
+    receiveAnswer(run, yield);
+}
+
+void Dispatch::receiveAnswer(Run &run, const Yield &yield)
+{
+    Attempt &attempt = run.attempt;
+    FrameChannel &channel = *run.channel;
+    std::optional<SilenceWatch> watch;
+    if (mayBeReplaced(attempt)) {
+        const Millis limit = slowTimeout(run.ref);
+        while (limit < attemptTimeout() && !run.answerBegins && !waitForAnswer(channel, limit, yield)) {
+            if (mayReplace(run)) {
+                attempt.slow = true;
+                return;
+            }
+        }
+    } else if (!attempt.reserved && mayBeSilent(channel)) {
+        const Millis limit = m_request.workClass.latencyTarget * SILENCE_TARGET_RATIO;
+        watch.emplace(m_shared.context, limit, [this, &channel, &attempt] {
+            attempt.silent = !isCrashSuspect() && !m_shared.isStopping()
+                && m_shared.table.retryBudget(m_request.service).tryConsumeRetry();
+            if (attempt.silent) {
+                channel.close();
+            }
+        });
+    }
+    auto answer = channel.receiveFor<wire::AnswerT>(run.start.attempt, attemptTimeout(), yield);
     if (!answer.streamed && bodyDigest(answer.body) != answer.digest) {
         throw BadFrame("an answer's body does not match its digest: check the link between the daemons");
     }
     attempt.answer = std::move(answer);
 }
 
-wire::AnswerT Dispatch::receiveAnswer(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt,
-                                      const Yield &yield)
+bool Dispatch::waitForAnswer(FrameChannel &channel, Millis timeout, const Yield &yield)
 {
-    const std::uint64_t number = attempt.answer.request;
-    if (!mayAbandon(channel, attempt)) {
-        return channel.receiveFor<wire::AnswerT>(number, attemptTimeout(), yield);
-    }
-    const Millis limit =
-        attempt.reserved ? abandonTimeout(ref) : m_request.workClass.latencyTarget * SILENCE_TARGET_RATIO;
-    const SilenceWatch watch(m_shared.context, limit, [this, &channel, &attempt] {
-        // During a planned stop, a running attempt is not given up: another upstream may not be found in time.
-        const bool giveUp = !isCrashSuspect() && !m_shared.isStopping()
-            && m_shared.table.retryBudget(m_request.service).tryConsumeRetry();
-        attempt.silent = giveUp && !attempt.reserved;
-        attempt.abandoned = giveUp && attempt.reserved;
-        if (giveUp) {
-            channel.close();
-        }
+    bool timedOut = false;
+    const SilenceWatch watch(m_shared.context, timeout, [&channel, &timedOut] {
+        timedOut = true;
+        ErrorCode ignored;
+        channel.socket().cancel(ignored);
     });
-    return channel.receiveFor<wire::AnswerT>(number, attemptTimeout(), yield);
+    ErrorCode ignored;
+    channel.socket().async_wait(tcp::socket::wait_read, yield[ignored]);
+    return !timedOut;
 }
 
-bool Dispatch::mayAbandon(const FrameChannel &channel, const Attempt &attempt) const
+bool Dispatch::mayBeReplaced(const Attempt &attempt) const
 {
     const bool irreversible = m_request.workClass.kind == WorkKind::Irreversible;
-    if (attempt.reserved) {
-        const int maxAttempts = m_request.workClass.maxAttempts;
-        return m_shared.moveSlowRequests && !irreversible && !m_request.source
-            && (maxAttempts == 0 || static_cast<int>(m_sentTo.size()) < maxAttempts);
-    }
-    const bool repeatable = !irreversible || !m_request.operation.empty();
+    const int maxAttempts = m_request.workClass.maxAttempts;
+    return attempt.reserved && m_shared.moveSlowRequests && !irreversible && !m_request.source
+        && (maxAttempts == 0 || static_cast<int>(m_sentTo.size()) < maxAttempts);
+}
+
+bool Dispatch::mayBeSilent(const FrameChannel &channel) const
+{
+    const bool repeatable = m_request.workClass.kind != WorkKind::Irreversible || !m_request.operation.empty();
     return channel.isReused() && repeatable && !m_request.source;
 }
 
@@ -663,7 +773,7 @@
     } else if (attempt.sent) {
         result = m_request.source || attempt.silent ? AttemptResult::Unjudged : AttemptResult::TimedOut;
     }
-    if (!attempt.sent && !attempt.failed) {
+    if (attempt.withdrawn || (!attempt.sent && !attempt.failed)) {
         result = AttemptResult::Unjudged;
     }
     const Millis networkTime = elapsed - serviceTime - Millis(attempt.answer.queuedMs);
@@ -714,6 +824,10 @@
 {
     asio::steady_timer timer(m_shared.context, toDuration(Millis(std::min(time.value, remaining().value))));
     m_pauseTimer = &timer;
+    const AnswerWatch watch(m_slowRun ? m_slowRun->channel.get() : nullptr, [this, &timer] {
+        m_slowRun->answerBegins = true;
+        timer.cancel();
+    });
     ErrorCode ignored;
     timer.async_wait(yield[ignored]);
     m_pauseTimer = nullptr;
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -102,11 +102,22 @@
         bool sent = false; ///< sending the request to the gate has begun
         bool failed = false; ///< no valid answer was received
         bool reserved = false; ///< a gate granted a slot
-        bool abandoned = false; ///< given up because the answer took too long, to try another upstream
+        bool slow = false; ///< goes on, but has taken so long that a replacement is searched
+        bool withdrawn = false; ///< ended before the request was sent, for a reason that lies not with the gate
         std::string cause; ///< of the failure, as text
         bool silent = false; ///< given up because no answer began on a reused connection
     };
 
+    /// An attempt in progress.
+    struct Run {
+        UpstreamRef ref;
+        AttemptStart start;
+        Millis startedAt;
+        Attempt attempt;
+        std::unique_ptr<FrameChannel> channel;
+        bool answerBegins = false; ///< while another upstream is searched
+    };
+
     void runWithoutOperation(const Yield &yield);
     const UpstreamRef *chooseUpstream();
     /// Starts the next round when all upstreams have been tried. Returns true when the request is refused instead.
@@ -123,6 +134,11 @@
     {
         return m_minWaitEstimate >= Millis();
     }
+    /// Whether an attempt may have run: for a slow one it is not yet known.
+    bool mayHaveRun() const
+    {
+        return m_maybeRan || m_slowRun;
+    }
     bool isPastStopDeadline() const;
     /// Whether the caller has disconnected, or the deadline of the request or of the stop has passed.
     bool isCancelledOrExpired() const;
@@ -135,8 +151,8 @@
     std::unique_ptr<FrameChannel> openAndReserve(const UpstreamRef &ref, Attempt &attempt, const Yield &yield);
     wire::ReserveT reservation(const UpstreamRef &ref, std::uint64_t number) const;
     void recordDenial(const wire::AnswerT &denial);
-    /// Returns the time after which an attempt on a reserved slot is given up.
-    Millis abandonTimeout(const UpstreamRef &ref) const;
+    /// Returns the time after which a replacement is searched for an attempt on a reserved slot.
+    Millis slowTimeout(const UpstreamRef &ref) const;
     void runOperation(const Yield &yield);
     /// Evaluates an attempt. Returns true when the request has its result, false when it is to be tried again.
     bool evaluateAttempt(Attempt attempt, const UpstreamRef &ref);
@@ -144,10 +160,29 @@
     /// Makes an attempt, and repeats it on a new connection when a reused one was silent.
     Attempt attemptAt(const UpstreamRef &ref, bool freshChannel, const Yield &yield);
     Attempt attemptOnce(const UpstreamRef &ref, bool freshChannel, const Yield &yield);
-    wire::AnswerT receiveAnswer(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield);
-    /// Whether an attempt may be given up before its timeout.
-    bool mayAbandon(const FrameChannel &channel, const Attempt &attempt) const;
-    void exchange(const UpstreamRef &ref, FrameChannel &channel, Attempt &attempt, const Yield &yield);
+    /// Does a step of an attempt and records how it failed, if it does.
+    void progress(Run &run, const std::function<void()> &step);
+    /// Reports an attempt that has ended, and keeps a slow one.
+    Attempt settle(Run run);
+    void exchange(Run &run, const Yield &yield);
+    /// Receives the answer, unless the attempt turns out slow.
+    void receiveAnswer(Run &run, const Yield &yield);
+    /// Returns false if the time has passed before an answer began.
+    bool waitForAnswer(FrameChannel &channel, Millis timeout, const Yield &yield);
+    /// Whether the attempt may be given up before its timeout, as its connection may be silent.
+    bool mayBeSilent(const FrameChannel &channel) const;
+    /// Whether the request may be sent to another upstream while this attempt has no answer.
+    bool mayBeReplaced(const Attempt &attempt) const;
+    bool mayReplace(const Run &run) const;
+    /// Whether a replacement of the slow attempt is no longer searched.
+    bool isSearchOver() const
+    {
+        return m_slowRun && !mayReplace(*m_slowRun);
+    }
+    /// Gives up the slow attempt, for which a slot at another upstream is reserved. Returns false if it must go on.
+    bool replaceSlowRun();
+    Attempt resumeSlowRun(const Yield &yield);
+    void endSlowRun();
     void sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield);
     void reportAttempt(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt, Millis startedAt);
     void closeOperation(const std::string &gate, const Yield &yield);
@@ -178,6 +213,7 @@
     asio::steady_timer *m_pauseTimer = nullptr; ///< set while pause() waits
     bool m_maybeRan = false; ///< no gate has confirmed for some attempt that it did not run
     bool m_bodyConsumed = false;
+    std::unique_ptr<Run> m_slowRun; ///< in progress while another upstream is searched
 };
 
 } // namespace mustardpond
