Reject requests without a clear end or host; drop interim answers

Cause: router and gate each took the meaning of a head from the parser, which ignores unknown transfer codings and ends a message at an interim answer.

Change: messagehead.h decides for both whether the framing is clear, the host is named once and an answer is final. 400 and close for such requests; such an answer, 101 or more than 16 interim answers fail the exchange.

--- a/packages/daemon/src/gate/upstreamclient.cpp
+++ b/packages/daemon/src/gate/upstreamclient.cpp
@@ -1,5 +1,7 @@
 #include "upstreamclient.h"
 
+#include "messagehead.h"
+
 #include "net/bodybuffer.h"
 #include "net/idlesocket.h"
 
@@ -10,6 +12,7 @@
 namespace {
 
 constexpr std::size_t MAX_IDLE_CONNECTIONS = 64; ///< per upstream
+constexpr int MAX_INTERIM_ANSWERS = 16; ///< before the final answer
 
 } // namespace
 
@@ -54,14 +57,27 @@
 
 void UpstreamExchange::receiveHead(Millis timeout, const Yield &yield)
 {
-    m_parser.emplace();
-    m_parser->body_limit(UNLIMITED_BYTES);
     m_buffer.reserve(SMALL_BODY_BYTES);
-    m_stream->expires_after(toDuration(timeout));
-    if (m_request->method() == http::verb::head) {
-        m_parser->skip(true);
+    m_stream->expires_after(toDuration(timeout)); // for all interim answers and the head of the final one
+    for (int answers = 0; answers <= MAX_INTERIM_ANSWERS; ++answers) {
+        m_parser.emplace();
+        m_parser->body_limit(UNLIMITED_BYTES);
+        if (m_request->method() == http::verb::head) {
+            m_parser->skip(true);
+        }
+        http::async_read_header(*m_stream, m_buffer, *m_parser, yield);
+        const auto &head = m_parser->get();
+        if (hasUnclearFraming(head, head.version())) {
+            throw boost::system::system_error(http::error::bad_transfer_encoding);
+        }
+        if (head.result() == http::status::switching_protocols) {
+            throw boost::system::system_error(http::error::bad_status); // no request asks for it
+        }
+        if (!isInterim(head.result_int())) {
+            return;
+        }
     }
-    http::async_read_header(*m_stream, m_buffer, *m_parser, yield);
+    throw boost::system::system_error(http::error::bad_status);
 }
 
 bool UpstreamExchange::receiveBody(std::string &body, std::size_t limit, Millis timeout, const Yield &yield)
--- a/packages/daemon/src/gate/upstreamclient.h
+++ b/packages/daemon/src/gate/upstreamclient.h
@@ -28,6 +28,8 @@
     /// Returns without an error if the upstream has reset the connection, since an answer that it sent before can still
     /// be read. Later calls then send nothing.
     void sendBody(const std::string &chunk, bool last, Millis timeout, const Yield &yield);
+    /// Receives the head of the final answer. Interim answers (1xx) before it are dropped, as callers that need one
+    /// have had it from their router; too many of them fail, as does 101.
     void receiveHead(Millis timeout, const Yield &yield);
     /// Appends up to limit bytes of the answer's body. Returns false when the body has ended. Fails if the end of the
     /// connection marks the end of the body and the connection was reset.
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -7,6 +7,7 @@
 #include "foundation/errors.h"
 #include "foundation/events.h"
 #include "httprules.h"
+#include "messagehead.h"
 #include "net/bodybuffer.h"
 #include "operationopener.h"
 #include "regionbytecounter.h"
@@ -163,6 +164,11 @@
 void CallerSession::handle(const Yield &yield)
 {
     const auto &head = m_parser->get();
+    const std::string problem = problemOfRequestHead(head, head.version());
+    if (!problem.empty()) {
+        m_keepOpen = false; // what follows may be a body or another request
+        return replyProblem(http::status::bad_request, problem, yield);
+    }
     if (beast::iequals(head[http::field::expect], "100-continue")) {
         http::response<http::empty_body> proceed(http::status::continue_, head.version());
         m_stream.expires_after(toDuration(CALLER_WRITE_TIMEOUT));
--- a/packages/daemon/test/upstreamclient_test.cpp
+++ b/packages/daemon/test/upstreamclient_test.cpp
@@ -194,6 +194,32 @@
 }
 
 // Bytes that never became a chunk were kept until the process exceeded its memory limit and was killed.
+// An interim answer was passed on as the whole answer, and the final one was lost.
+TEST_F(UpstreamClientTest, InterimAnswersBeforeTheFinalOneAreDropped)
+{
+    EXPECT_TRUE(isReusableAfter("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"
+                                "HTTP/1.1 102 Processing\r\n\r\n"
+                                + ANSWER));
+}
+
+TEST_F(UpstreamClientTest, EndlessInterimAnswersFail)
+{
+    startEndlessUpstream("", "HTTP/1.1 103 Early Hints\r\n\r\n");
+    EXPECT_EQ(errorOfAnswer(), http::error::bad_status);
+}
+
+TEST_F(UpstreamClientTest, UpgradeThatNobodyAskedForFails)
+{
+    startUpstream("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", End::Keep);
+    EXPECT_EQ(errorOfAnswer(), http::error::bad_status);
+}
+
+TEST_F(UpstreamClientTest, AnswerWithUnclearFramingFails)
+{
+    startUpstream("HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\nok", End::Close);
+    EXPECT_EQ(errorOfAnswer(), http::error::bad_transfer_encoding);
+}
+
 TEST_F(UpstreamClientTest, EndlessChunkExtensionFails)
 {
     startEndlessUpstream(CHUNKED_HEAD, "2;extension");
