Send the Host field from the load driver

Cause: the driver sent HTTP/1.1 requests without Host, which are answered 400 since (RFC 9112, 3.2).

Change: the driver names its router.

--- a/packages/testing/src/callers_main.cpp
+++ b/packages/testing/src/callers_main.cpp
@@ -244,6 +244,7 @@
                 m_stream->socket().set_option(tcp::no_delay(true));
                 m_buffer.clear();
             }
+            request.set(http::field::host, toString(m_router));
             m_stream->expires_after(toDuration(CALL_TIMEOUT));
             http::async_write(*m_stream, request, yield);
             sent = true;
