Name the steps of an attempt after what they do

Cause: progress, settle and mayBeReplaced (beside mayReplace) had to be looked up. Change: runStep, finishRun, isReplaceable; comments on the slow attempt; a default for LocalUpstream::replaced, whose lack gave a compiler warning.

--- a/packages/daemon/src/gate/upstreamregistry.h
+++ b/packages/daemon/src/gate/upstreamregistry.h
@@ -27,7 +27,7 @@
     std::shared_ptr<SlotQueue> queue;
     bool superseded = false; ///< gone since another upstream took its address, not by its own announcement
     bool startTimeMisleads = false; ///< newer than the other known starts, although its start time is earlier
-    ReplacedStart replaced;
+    ReplacedStart replaced = {}; ///< the start before this one; its announcements are late, whatever their start time
 };
 
 enum class AnnounceResult : std::uint8_t {
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -445,7 +445,7 @@
         m_shared.table.onStart(m_request.service, run.start, run.startedAt);
     }
     run.attempt.answer.request = run.start.attempt;
-    progress(run, [&] {
+    runStep(run, [&] {
         const Millis timeout(std::min(CONNECT_TIMEOUT.value, std::max(1.0, remaining().value)));
         if (hasUpstream) {
             run.channel = openAndReserve(ref, run.attempt, yield);
@@ -462,10 +462,10 @@
             exchange(run, yield);
         }
     });
-    return settle(std::move(run));
+    return finishRun(std::move(run));
 }
 
-void Dispatch::progress(Run &run, const std::function<void()> &step)
+void Dispatch::runStep(Run &run, const std::function<void()> &step)
 {
     Attempt &attempt = run.attempt;
     try {
@@ -491,7 +491,7 @@
     }
 }
 
-Dispatch::Attempt Dispatch::settle(Run run)
+Dispatch::Attempt Dispatch::finishRun(Run run)
 {
     if (run.attempt.slow) {
         m_slowRun = std::make_unique<Run>(std::move(run));
@@ -535,13 +535,13 @@
     Run run = std::move(*m_slowRun);
     m_slowRun.reset();
     run.attempt.slow = false;
-    progress(run, [&] {
+    runStep(run, [&] {
         const CurrentChannelGuard guard(m_currentChannel, *run.channel);
         const bool crossesRegions = run.ref.distance == Distance::OtherRegion;
         const RegionByteCounter counter(m_shared.metrics, m_request.organisation, *run.channel, crossesRegions);
         receiveAnswer(run, yield);
     });
-    return settle(std::move(run));
+    return finishRun(std::move(run));
 }
 
 void Dispatch::endSlowRun()
@@ -552,7 +552,7 @@
     m_slowRun->channel->close();
     m_slowRun->attempt.slow = false;
     m_slowRun->attempt.failed = true;
-    settle(std::move(*m_slowRun));
+    finishRun(std::move(*m_slowRun));
     m_slowRun.reset();
 }
 
@@ -677,7 +677,7 @@
     Attempt &attempt = run.attempt;
     FrameChannel &channel = *run.channel;
     std::optional<SilenceWatch> watch;
-    if (mayBeReplaced(attempt)) {
+    if (isReplaceable(attempt)) {
         const Millis limit = slowTimeout(run.ref);
         while (limit < attemptTimeout() && !run.answerBegins && !waitForAnswer(channel, limit, yield)) {
             if (mayReplace(run)) {
@@ -715,7 +715,7 @@
     return !timedOut;
 }
 
-bool Dispatch::mayBeReplaced(const Attempt &attempt) const
+bool Dispatch::isReplaceable(const Attempt &attempt) const
 {
     const bool irreversible = m_request.workClass.kind == WorkKind::Irreversible;
     const int maxAttempts = m_request.workClass.maxAttempts;
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -102,8 +102,8 @@
         bool sent = false; ///< sending the request to the gate has begun
         bool failed = false; ///< no valid answer was received
         bool reserved = false; ///< a gate granted a slot
-        bool slow = false; ///< goes on, but has taken so long that a replacement is searched
-        bool withdrawn = false; ///< ended before the request was sent, for a reason that lies not with the gate
+        bool slow = false; ///< goes on, but has taken so long that a replacement is looked for
+        bool withdrawn = false; ///< ended before the request was sent, which says nothing about the gate
         std::string cause; ///< of the failure, as text
         bool silent = false; ///< given up because no answer began on a reused connection
     };
@@ -115,7 +115,7 @@
         Millis startedAt;
         Attempt attempt;
         std::unique_ptr<FrameChannel> channel;
-        bool answerBegins = false; ///< while another upstream is searched
+        bool answerBegins = false; ///< noticed while a replacement was looked for
     };
 
     void runWithoutOperation(const Yield &yield);
@@ -151,7 +151,7 @@
     std::unique_ptr<FrameChannel> openAndReserve(const UpstreamRef &ref, Attempt &attempt, const Yield &yield);
     wire::ReserveT reservation(const UpstreamRef &ref, std::uint64_t number) const;
     void recordDenial(const wire::AnswerT &denial);
-    /// Returns the time after which a replacement is searched for an attempt on a reserved slot.
+    /// Returns the time after which a replacement for an attempt on a reserved slot is looked for.
     Millis slowTimeout(const UpstreamRef &ref) const;
     void runOperation(const Yield &yield);
     /// Evaluates an attempt. Returns true when the request has its result, false when it is to be tried again.
@@ -160,10 +160,10 @@
     /// Makes an attempt, and repeats it on a new connection when a reused one was silent.
     Attempt attemptAt(const UpstreamRef &ref, bool freshChannel, const Yield &yield);
     Attempt attemptOnce(const UpstreamRef &ref, bool freshChannel, const Yield &yield);
-    /// Does a step of an attempt and records how it failed, if it does.
-    void progress(Run &run, const std::function<void()> &step);
-    /// Reports an attempt that has ended, and keeps a slow one.
-    Attempt settle(Run run);
+    /// Runs a step of an attempt. A failure is recorded in the attempt, not thrown.
+    void runStep(Run &run, const std::function<void()> &step);
+    /// Reports an attempt that has ended. A slow one is kept in m_slowRun instead.
+    Attempt finishRun(Run run);
     void exchange(Run &run, const Yield &yield);
     /// Receives the answer, unless the attempt turns out slow.
     void receiveAnswer(Run &run, const Yield &yield);
@@ -172,16 +172,19 @@
     /// Whether the attempt may be given up before its timeout, as its connection may be silent.
     bool mayBeSilent(const FrameChannel &channel) const;
     /// Whether the request may be sent to another upstream while this attempt has no answer.
-    bool mayBeReplaced(const Attempt &attempt) const;
+    bool isReplaceable(const Attempt &attempt) const;
+    /// Whether a run for which a replacement is looked for may still be given up.
     bool mayReplace(const Run &run) const;
-    /// Whether a replacement of the slow attempt is no longer searched.
+    /// Whether a replacement for the slow attempt is no longer looked for.
     bool isSearchOver() const
     {
         return m_slowRun && !mayReplace(*m_slowRun);
     }
     /// Gives up the slow attempt, for which a slot at another upstream is reserved. Returns false if it must go on.
     bool replaceSlowRun();
+    /// Waits for the slow attempt's answer again.
     Attempt resumeSlowRun(const Yield &yield);
+    /// Closes and reports the slow attempt, if there is one.
     void endSlowRun();
     void sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield);
     void reportAttempt(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt, Millis startedAt);
@@ -213,7 +216,7 @@
     asio::steady_timer *m_pauseTimer = nullptr; ///< set while pause() waits
     bool m_maybeRan = false; ///< no gate has confirmed for some attempt that it did not run
     bool m_bodyConsumed = false;
-    std::unique_ptr<Run> m_slowRun; ///< in progress while another upstream is searched
+    std::unique_ptr<Run> m_slowRun; ///< in progress while a replacement is looked for
 };
 
 } // namespace mustardpond
