Add messages and settings for keys, proofs and quotas

Fields of the configuration's freshness proof, of fair queueing and the messages of quotas, with checks of their ranges, and the settings 'keys' and 'quota'. Nothing uses them yet.

--- a/packages/config/include/config/daemonsettings.h
+++ b/packages/config/include/config/daemonsettings.h
@@ -64,6 +64,20 @@
     Millis window{10000};
 };
 
+/// How requests with keys of organisations are admitted. Takes effect if the configuration has organisations.
+struct KeySettings {
+    bool strict = false; ///< whether keys are accepted only with a recent proof that the configuration is the newest
+    Millis maxProofAge{5000};
+};
+
+/// Tolerance with which quotas of organisations hold over all daemons, in any window of the given length.
+struct QuotaSettings {
+    Millis window{5000};
+    double overage = 0; ///< share of the limit by which it may be exceeded
+    double slack = 0; ///< requests by which it may be exceeded in addition
+    std::vector<std::string> dataCentres; ///< each has an equal share; empty for the data centre of this daemon alone
+};
+
 struct DaemonSettings {
     std::string node;
     std::string region;
@@ -76,6 +90,8 @@
     std::optional<Endpoint> ready; ///< serves readiness in addition to the local address
     std::optional<Endpoint> metrics; ///< serves metrics in addition to the local address
     FleetRetryLimits retries;
+    KeySettings keys;
+    QuotaSettings quota;
     Endpoint caller; ///< where callers connect
     Endpoint inner; ///< where other daemons connect
     Endpoint advertisedInner; ///< announced to other daemons; differs from `inner` if the host is behind a relay
--- a/packages/config/src/daemonsettings.cpp
+++ b/packages/config/src/daemonsettings.cpp
@@ -16,6 +16,8 @@
 constexpr NumberRange DETECTION_COST_RANGE{0.001, 1000};
 constexpr NumberRange RETRY_SHARE_RANGE{0, 10};
 constexpr NumberRange RETRY_EXTRA_RANGE{0, 1000000};
+constexpr NumberRange OVERAGE_RANGE{0, 10};
+constexpr NumberRange SLACK_RANGE{0, 1000000};
 
 Endpoint endpoint(FieldReader &reader, const std::string &name)
 {
@@ -45,6 +47,26 @@
     return limits;
 }
 
+KeySettings keysFrom(FieldReader reader)
+{
+    KeySettings keys;
+    keys.strict = reader.flag("strict", keys.strict);
+    keys.maxProofAge = Millis(reader.number("maxProofAgeMs", DURATION_RANGE_MS, keys.maxProofAge.value));
+    reader.rejectUnknownFields();
+    return keys;
+}
+
+QuotaSettings quotaFrom(FieldReader reader)
+{
+    QuotaSettings quota;
+    quota.window = Millis(reader.number("windowMs", DURATION_RANGE_MS, quota.window.value));
+    quota.overage = reader.number("overage", OVERAGE_RANGE, quota.overage);
+    quota.slack = reader.number("slack", SLACK_RANGE, quota.slack);
+    quota.dataCentres = reader.texts("dataCentres");
+    reader.rejectUnknownFields();
+    return quota;
+}
+
 DaemonLimits limitsFrom(FieldReader reader)
 {
     DaemonLimits limits;
@@ -120,6 +142,12 @@
     if (reader.has("retries")) {
         settings.retries = retriesFrom(reader.object("retries"));
     }
+    if (reader.has("keys")) {
+        settings.keys = keysFrom(reader.object("keys"));
+    }
+    if (reader.has("quota")) {
+        settings.quota = quotaFrom(reader.object("quota"));
+    }
     if (reader.has("limits")) {
         settings.limits = limitsFrom(reader.object("limits"));
     }
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "bodysource.h"
+#include "decision/organisation.h"
 #include "decision/outcome.h"
 #include "decision/quarantine.h"
 #include "gatepool.h"
@@ -24,6 +25,7 @@
     std::string service;
     WorkClass workClass;
     std::string organisation;
+    std::shared_ptr<const Organisation> authenticated; ///< by its key; null without one
     std::string operation; ///< empty when the caller has opened none
     std::string id; ///< request id set by the caller; empty when there is none
     bool inner = false; ///< a call of an upstream on behalf of a request that it is running
--- a/packages/wire/src/framecheck.cpp
+++ b/packages/wire/src/framecheck.cpp
@@ -49,8 +49,19 @@
     require(isValidDuration(answer.queuedMs), "queuedMs");
 }
 
+/// Whether a number of tokens or a weight can be used in calculations.
+bool isValidAmount(double amount)
+{
+    constexpr double MAX_AMOUNT = 1e9;
+    return amount >= 0 && amount <= MAX_AMOUNT;
+}
+
 void check(const wire::GossipT &gossip)
 {
+    if (gossip.ack) {
+        const double age = gossip.ack->proofAgeMs;
+        require(age < 0 || isValidDuration(age), "ack.proofAgeMs");
+    }
     for (const auto &member : gossip.members) {
         require(isValidEnum(member->state), "members.state");
         for (const auto &upstream : member->upstreams) {
@@ -70,6 +81,14 @@
         check(*answer);
     } else if (const auto *gossip = frame.body.AsGossip()) {
         check(*gossip);
+    } else if (const auto *reserve = frame.body.AsReserve()) {
+        require(isValidAmount(reserve->weight), "weight");
+    } else if (const auto *reply = frame.body.AsQuotaReply()) {
+        require(isValidDuration(reply->retryAfterMs), "retryAfterMs");
+    } else if (const auto *borrow = frame.body.AsQuotaBorrow()) {
+        require(isValidAmount(borrow->wanted), "wanted");
+    } else if (const auto *loan = frame.body.AsQuotaLoan()) {
+        require(isValidAmount(loan->tokens), "tokens");
     }
 }
 
