Exchange only the records that two members lack when their digests differ

Cause: a difference of one record between two members' digests made both send all their member records and objects, the whole configuration among them. Under steady restarts most digests differ by a few records, so that the bytes of a member grew with the size of the fleet.

Change: a pull request carries the version of each record (16 bytes), and the peer answers with what is missing or older there. It asks back once for what is newer at the requester. A pull without versions is answered in full as before.

Result: with 60 members, a difference of one record costs 1 record instead of 120 (test, fails on the code before).

--- a/packages/config/include/config/objecttable.h
+++ b/packages/config/include/config/objecttable.h
@@ -33,6 +33,10 @@
     std::vector<StoredObject> all() const;
     /// Returns the objects with a higher version, including deleted ones.
     std::vector<StoredObject> newerThan(std::uint64_t version) const;
+    /// Returns the version of each object by the hash of its key.
+    std::unordered_map<std::uint64_t, std::uint64_t> versionsByHash() const;
+    /// Returns the objects, including deleted ones, that are missing among the given versions or newer than there.
+    std::vector<StoredObject> newerThan(const std::unordered_map<std::uint64_t, std::uint64_t> &versionsByHash) const;
     /// Returns the highest version of all objects, or 0 without objects.
     std::uint64_t newestVersion() const
     {
--- a/packages/config/src/objecttable.cpp
+++ b/packages/config/src/objecttable.cpp
@@ -85,4 +85,26 @@
     return list;
 }
 
+std::unordered_map<std::uint64_t, std::uint64_t> ObjectTable::versionsByHash() const
+{
+    std::unordered_map<std::uint64_t, std::uint64_t> versions;
+    for (const auto &[key, object] : m_objects) {
+        versions[hashOf(key, 0)] = object.version;
+    }
+    return versions;
+}
+
+std::vector<StoredObject>
+ObjectTable::newerThan(const std::unordered_map<std::uint64_t, std::uint64_t> &versionsByHash) const
+{
+    std::vector<StoredObject> list;
+    for (const auto &[key, object] : m_objects) {
+        const auto known = versionsByHash.find(hashOf(key, 0));
+        if (known == versionsByHash.end() || known->second < object.version) {
+            list.push_back(object);
+        }
+    }
+    return list;
+}
+
 } // namespace mustardpond
--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -125,9 +125,12 @@
     std::string reconnectAddress();
     void pullFromSeeds(std::vector<OutgoingGossip> &out);
     void answerPing(const wire::GossipT &message, std::vector<OutgoingGossip> &out);
-    /// Sends the objects with a higher version than newerThan.
-    void sendObjects(std::uint64_t newerThan, const std::string &address, std::vector<OutgoingGossip> &out);
+    void sendObjects(const std::vector<StoredObject> &objects, const std::string &address,
+                     std::vector<OutgoingGossip> &out);
+    /// Sends the records that the peer lacks, and asks it once for those that are newer at the peer.
     void answerPull(const wire::PullRequestT &pull, const std::string &address, std::vector<OutgoingGossip> &out);
+    /// Returns a request for the records that are newer than this member's.
+    std::unique_ptr<wire::PullRequestT> newPull(bool wantMembers, bool wantObjects) const;
     void handleAck(const wire::AckT &ack, std::vector<OutgoingGossip> &out);
     void compareDigests(const wire::GossipT &message, std::vector<OutgoingGossip> &out);
     wire::GossipT newMessage() const;
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -1,5 +1,7 @@
 #include "membership/membership.h"
 
+#include "recordstamps.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -157,8 +159,8 @@
         answerPull(*message.pull, message.replyTo, out);
     }
     compareDigests(message, out);
-    if (message.newestObject > 0) {
-        sendObjects(message.newestObject, message.replyTo, out);
+    if (message.newestObject > 0 && message.newestObject < m_objects.newestVersion()) {
+        sendObjects(m_objects.newerThan(message.newestObject), message.replyTo, out);
     }
     return out;
 }
@@ -443,14 +445,19 @@
     if (!membersDiffer && !objectsDiffer) {
         return;
     }
-    wire::PullRequestT pullRequest;
-    pullRequest.from = m_self.inner;
-    pullRequest.wantMembers = membersDiffer;
-    pullRequest.wantObjects = objectsDiffer;
     wire::GossipT request = newMessage();
-    request.pull = std::make_unique<wire::PullRequestT>(pullRequest);
+    request.pull = newPull(membersDiffer, objectsDiffer);
     out.push_back({message.replyTo, std::move(request)});
-    answerPull(pullRequest, message.replyTo, out);
+}
+
+std::unique_ptr<wire::PullRequestT> Membership::newPull(bool wantMembers, bool wantObjects) const
+{
+    auto pull = std::make_unique<wire::PullRequestT>();
+    pull->from = m_self.inner;
+    pull->wantMembers = wantMembers;
+    pull->wantObjects = wantObjects;
+    RecordStamps(members(), m_objects).writeTo(*pull);
+    return pull;
 }
 
 void Membership::answerPull(const wire::PullRequestT &pull, const std::string &address,
@@ -459,25 +466,43 @@
     if (address.empty()) {
         return;
     }
+    const RecordStamps peer(pull);
     if (pull.wantMembers) {
         wire::GossipT reply = newMessage();
         for (const auto &[key, entry] : m_members) {
-            reply.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(entry.member)));
+            if (peer.lacks(entry.member)) {
+                reply.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(entry.member)));
+            }
+        }
+        if (!reply.members.empty()) {
+            out.push_back({address, std::move(reply)});
         }
-        out.push_back({address, std::move(reply)});
     }
     if (pull.wantObjects) {
-        sendObjects(0, address, out);
+        sendObjects(m_objects.newerThan(peer.objects()), address, out);
+    }
+    if (!pull.hasStamps || pull.isReply) {
+        return;
+    }
+    const RecordStamps own(members(), m_objects);
+    const bool lacksMembers = pull.wantMembers && own.lacksMembersOf(peer);
+    const bool lacksObjects = pull.wantObjects && own.lacksObjectsOf(peer);
+    if (lacksMembers || lacksObjects) {
+        wire::GossipT request = newMessage();
+        request.pull = newPull(lacksMembers, lacksObjects);
+        request.pull->isReply = true;
+        out.push_back({address, std::move(request)});
     }
 }
 
-void Membership::sendObjects(std::uint64_t newerThan, const std::string &address, std::vector<OutgoingGossip> &out)
+void Membership::sendObjects(const std::vector<StoredObject> &objects, const std::string &address,
+                             std::vector<OutgoingGossip> &out)
 {
-    if (address.empty() || newerThan >= m_objects.newestVersion()) {
+    if (address.empty()) {
         return;
     }
     wire::GossipT message = newMessage();
-    for (const StoredObject &object : m_objects.newerThan(newerThan)) {
+    for (const StoredObject &object : objects) {
         message.objects.push_back(std::make_unique<wire::ObjectRecordT>(m_recordEncoder.encode(object)));
         if (message.objects.size() >= MAX_OBJECTS_PER_MESSAGE) {
             out.push_back({address, std::move(message)});
