Share an upstream's slots among organisations by start-time fair queueing

Callers' waiting requests stood in one order of deadline, so an organisation that sent more than usual filled the queue and all others waited behind it. FairQueue holds them by flow; SlotQueue uses it below the rule that inner calls go first. With a single flow the order and estimatedRounds are those of before: slotqueue_test is unchanged and passes.

An organisation that sends all of its requests to one of six upstreams, beside one that floods all six, gets half of that upstream where coupled queues would serve it whole.

--- a/packages/decision/include/decision/slotqueue.h
+++ b/packages/decision/include/decision/slotqueue.h
@@ -1,8 +1,12 @@
 /// Admission to one upstream: a bounded number of running requests and a queue ordered by rank, then deadline. Inner
 /// calls, which running requests wait for, go first, so that under a short overload no slot is blocked behind new work.
 /// Under a long overload they would starve callers' own requests, which therefore have some of the slots guaranteed.
+/// Organisations share the slots that callers' own requests get by fair queueing; the order by rank and deadline then
+/// holds among the requests of one organisation.
 #pragma once
 
+#include "decision/fairqueue.h"
+
 #include "foundation/clock.h"
 
 #include <cstdint>
@@ -25,7 +29,8 @@
     SlotQueue(std::size_t slots, std::size_t waiting);
 
     /// @param rank requests of lower rank get a slot first
-    SlotDecision request(std::uint64_t ticket, Millis deadline, int rank = INNER_CALL_RANK);
+    /// @param share disregarded for inner calls
+    SlotDecision request(std::uint64_t ticket, Millis deadline, int rank = INNER_CALL_RANK, FairShare share = {});
     /// Releases a slot. Returns the waiting ticket that now holds it, if any. Tickets whose deadline has passed
     /// are granted first within their rank, and must be answered by the owner.
     /// @param rank rank of the request that held the slot
@@ -39,7 +44,7 @@
 
     /// Returns the number of requests that must end before a new one gets a slot, divided by the slots available to it;
     /// 0 when a slot is free.
-    double estimatedRounds(int rank, Millis deadline) const;
+    double estimatedRounds(int rank, Millis deadline, const FairShare &share = {}) const;
 
     std::size_t running() const
     {
@@ -47,7 +52,12 @@
     }
     std::size_t waiting() const
     {
-        return m_waiting.size();
+        return m_innerCalls.size() + m_callerRequests.size();
+    }
+    /// Callers' waiting requests.
+    const FairQueue &callerRequests() const
+    {
+        return m_callerRequests;
     }
     std::size_t slots() const
     {
@@ -55,19 +65,10 @@
     }
 
 private:
-    struct Waiting {
-        int rank;
-        Millis deadline;
-        std::uint64_t ticket;
-        bool operator<(const Waiting &other) const;
-    };
-    using Queue = std::set<Waiting>;
-
     /// Returns the number of slots guaranteed to callers' own requests while inner calls wait.
     std::size_t guaranteedSlots() const;
-    /// Returns the first waiting request of a caller, or the end.
-    Queue::const_iterator firstCallerRequest() const;
-    Queue::const_iterator nextToRun();
+    /// Whether the next slot goes to a caller's request.
+    bool isCallersTurn();
     void countStart(int rank);
 
     std::size_t m_slots;
@@ -75,7 +76,8 @@
     std::size_t m_runningInnerCalls = 0;
     std::size_t m_runningCallerRequests = 0;
     bool m_grantedPastInnerCalls = false; ///< the last slot went to a caller's request while inner calls waited
-    Queue m_waiting;
+    std::set<FairRequest> m_innerCalls; ///< waiting
+    FairQueue m_callerRequests;
 };
 
 } // namespace mustardpond
--- a/packages/decision/src/slotqueue.cpp
+++ b/packages/decision/src/slotqueue.cpp
@@ -13,30 +13,29 @@
 
 } // namespace
 
-bool SlotQueue::Waiting::operator<(const Waiting &other) const
-{
-    if (rank != other.rank) {
-        return rank < other.rank;
-    }
-    return deadline != other.deadline ? deadline < other.deadline : ticket < other.ticket;
-}
-
 SlotQueue::SlotQueue(std::size_t slots, std::size_t waiting)
     : m_slots(slots)
     , m_maxWaiting(waiting)
 {
 }
 
-SlotDecision SlotQueue::request(std::uint64_t ticket, Millis deadline, int rank)
+SlotDecision SlotQueue::request(std::uint64_t ticket, Millis deadline, int rank, FairShare share)
 {
-    if (running() < m_slots && m_waiting.empty()) {
+    if (running() < m_slots && waiting() == 0) {
         countStart(rank);
+        if (rank != INNER_CALL_RANK) {
+            m_callerRequests.charge(share);
+        }
         return SlotDecision::Granted;
     }
-    if (m_waiting.size() >= m_maxWaiting) {
+    if (waiting() >= m_maxWaiting) {
         return SlotDecision::Full;
     }
-    m_waiting.insert({rank, deadline, ticket});
+    if (rank == INNER_CALL_RANK) {
+        m_innerCalls.insert({rank, deadline, ticket, {}});
+    } else {
+        m_callerRequests.push({rank, deadline, ticket, std::move(share)});
+    }
     return SlotDecision::Queued;
 }
 
@@ -44,34 +43,40 @@
 {
     std::size_t &count = rank == INNER_CALL_RANK ? m_runningInnerCalls : m_runningCallerRequests;
     count -= count > 0 ? 1 : 0;
+    if (running() == 0 && waiting() == 0) {
+        m_callerRequests.forgetIdleFlows();
+    }
     return grantNext();
 }
 
 bool SlotQueue::cancel(std::uint64_t ticket)
 {
-    const auto found =
-        std::find_if(m_waiting.begin(), m_waiting.end(), [ticket](const Waiting &w) { return w.ticket == ticket; });
-    if (found == m_waiting.end()) {
-        return false;
+    const auto found = std::find_if(m_innerCalls.begin(), m_innerCalls.end(),
+                                    [ticket](const FairRequest &call) { return call.ticket == ticket; });
+    if (found == m_innerCalls.end()) {
+        return m_callerRequests.remove(ticket);
     }
-    m_waiting.erase(found);
+    m_innerCalls.erase(found);
     return true;
 }
 
-double SlotQueue::estimatedRounds(int rank, Millis deadline) const
+double SlotQueue::estimatedRounds(int rank, Millis deadline, const FairShare &share) const
 {
-    const Waiting last{rank, deadline, std::numeric_limits<std::uint64_t>::max()};
-    const auto end = m_waiting.upper_bound(last);
-    const auto callerRequests = firstCallerRequest();
-    const bool innerCallsWait = callerRequests != m_waiting.begin();
+    const FairRequest last{rank, deadline, std::numeric_limits<std::uint64_t>::max(), share};
     std::size_t slots = std::max<std::size_t>(1, m_slots);
-    std::size_t requestsAhead = running() + static_cast<std::size_t>(std::distance(m_waiting.begin(), end));
-    if (rank != INNER_CALL_RANK && innerCallsWait) {
-        // More inner calls are likely to arrive; only the guaranteed slots are certain.
-        slots = guaranteedSlots();
-        requestsAhead = m_runningCallerRequests + static_cast<std::size_t>(std::distance(callerRequests, end));
+    auto requestsAhead = static_cast<double>(running());
+    if (rank == INNER_CALL_RANK) {
+        const auto end = m_innerCalls.upper_bound(last);
+        requestsAhead += static_cast<double>(std::distance(m_innerCalls.begin(), end));
+    } else {
+        if (!m_innerCalls.empty()) {
+            // More inner calls are likely to arrive; only the guaranteed slots are certain.
+            slots = guaranteedSlots();
+            requestsAhead = static_cast<double>(m_runningCallerRequests);
+        }
+        requestsAhead += m_callerRequests.expectedAhead(last);
     }
-    const double excess = static_cast<double>(requestsAhead) + 1 - static_cast<double>(slots);
+    const double excess = requestsAhead + 1 - static_cast<double>(slots);
     return std::max(0.0, excess / static_cast<double>(slots));
 }
 
@@ -82,13 +87,19 @@
 
 std::optional<std::uint64_t> SlotQueue::grantNext()
 {
-    if (running() >= m_slots || m_waiting.empty()) {
+    if (running() >= m_slots || waiting() == 0) {
         return std::nullopt;
     }
-    const auto next = nextToRun();
-    const std::uint64_t ticket = next->ticket;
-    countStart(next->rank);
-    m_waiting.erase(next);
+    if (isCallersTurn()) {
+        const FairRequest &next = *m_callerRequests.front();
+        const std::uint64_t ticket = next.ticket;
+        countStart(next.rank);
+        m_callerRequests.pop();
+        return ticket;
+    }
+    const std::uint64_t ticket = m_innerCalls.begin()->ticket;
+    countStart(INNER_CALL_RANK);
+    m_innerCalls.erase(m_innerCalls.begin());
     return ticket;
 }
 
@@ -97,18 +108,12 @@
     return std::max<std::size_t>(1, std::lround(static_cast<double>(m_slots) * GUARANTEED_SLOT_RATIO));
 }
 
-SlotQueue::Queue::const_iterator SlotQueue::firstCallerRequest() const
-{
-    return m_waiting.lower_bound({INNER_CALL_RANK + 1, Millis(std::numeric_limits<double>::lowest()), 0});
-}
-
-SlotQueue::Queue::const_iterator SlotQueue::nextToRun()
+bool SlotQueue::isCallersTurn()
 {
-    const auto callerRequest = firstCallerRequest();
-    const bool bothWait = callerRequest != m_waiting.begin() && callerRequest != m_waiting.end();
+    const bool bothWait = !m_innerCalls.empty() && m_callerRequests.size() > 0;
     // With few slots, the guaranteed slots could be all of them, so grants alternate to keep inner calls from starving.
     m_grantedPastInnerCalls = bothWait && !m_grantedPastInnerCalls && m_runningCallerRequests < guaranteedSlots();
-    return m_grantedPastInnerCalls ? callerRequest : m_waiting.begin();
+    return m_grantedPastInnerCalls || m_innerCalls.empty();
 }
 
 void SlotQueue::countStart(int rank)
