Count the usual size of a class's answers as a large body in placement

Cause: only a request's own body made another data centre more expensive, so that large answers were fetched over the links between data centres and regions as readily as small ones.

Change: the router keeps the smoothed size of the answers of each class of work at a service; together with the request body it decides whether the body counts as large. Unit test of the average; the effect on traffic is measured next.

--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -45,6 +45,17 @@
     return textOf(field.substr(0, field.find(':')));
 }
 
+/// Returns the size of an answer's body as far as it is known.
+std::uint64_t answerBytes(const wire::AnswerT &answer, const http::fields &head)
+{
+    std::uint64_t bytes = answer.body.size();
+    if (answer.streamed) {
+        const auto length = head[http::field::content_length];
+        std::from_chars(length.data(), length.data() + length.size(), bytes);
+    }
+    return bytes;
+}
+
 struct IntendedRequest {
     std::string path;
     std::string method;
@@ -538,6 +549,7 @@
     m_router.dialect().setAnswerFields({result.upstream}, response);
     response.keep_alive(keepAlive());
     const bool isHead = m_parser->get().method() == http::verb::head;
+    m_router.table().onAnswerSize(request.service, request.workClass.name, answerBytes(answer, response));
     if (answer.streamed) {
         const RegionByteCounter counter(m_router.metrics(), request.organisation, *result.channel,
                                         result.distance == Distance::OtherRegion);
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -136,7 +136,8 @@
     constraints.includeUntrusted = mustServe();
     constraints.allowOtherRegions =
         m_remoteGatesAsked < (constraints.mayWait ? MAX_REMOTE_GATES + 1 : MAX_REMOTE_GATES);
-    constraints.largeBody = m_request.source || m_request.body.size() >= LARGE_BODY_BYTES;
+    const double answerBytes = m_shared.table.classAnswerBytes(m_request.service, m_request.workClass.name);
+    constraints.largeBody = m_request.source || m_request.body.size() + answerBytes >= LARGE_BODY_BYTES;
     const UpstreamRef *chosen = m_shared.table.place(m_request.service, m_request.workClass, m_tried, constraints, now);
     m_remoteGatesAsked += chosen && chosen->distance == Distance::OtherRegion ? 1 : 0;
     return chosen;
--- a/packages/daemon/src/router/routingtable.cpp
+++ b/packages/daemon/src/router/routingtable.cpp
@@ -222,6 +222,23 @@
     stateOf(service).detector->onGateSuspicion(upstream, workClass, now);
 }
 
+void RoutingTable::onAnswerSize(const std::string &service, const std::string &workClass, std::uint64_t bytes)
+{
+    const auto size = static_cast<double>(bytes);
+    double &average = stateOf(service).classAnswerBytes.try_emplace(workClass, size).first->second;
+    average += (size - average) * SMOOTHING_FACTOR;
+}
+
+double RoutingTable::classAnswerBytes(const std::string &service, const std::string &workClass) const
+{
+    const auto state = m_services.find(service);
+    if (state == m_services.end()) {
+        return 0;
+    }
+    const auto found = state->second.classAnswerBytes.find(workClass);
+    return found == state->second.classAnswerBytes.end() ? 0 : found->second;
+}
+
 Millis RoutingTable::classServiceTime(const std::string &service, const std::string &workClass)
 {
     return stateOf(service).classServiceTimes[workClass];
--- a/packages/daemon/src/router/routingtable.h
+++ b/packages/daemon/src/router/routingtable.h
@@ -73,6 +73,10 @@
 
     void onGateSuspicion(const std::string &service, const std::string &upstream, const std::string &workClass,
                          Millis now);
+    /// Records the size of an answer's body.
+    void onAnswerSize(const std::string &service, const std::string &workClass, std::uint64_t bytes);
+    /// Returns the usual size of the answers of a class of work at a service; zero when it is not known.
+    double classAnswerBytes(const std::string &service, const std::string &workClass) const;
     /// Returns the usual service time of a class of work at the upstreams of a service; zero when it is not known.
     Millis classServiceTime(const std::string &service, const std::string &workClass);
     /// Returns the baseline of the upstream's peers, to be sent to its gate with a request.
@@ -105,6 +109,7 @@
         RetryBudget budget;
         std::unordered_map<std::string, UpstreamState> upstreams;
         std::map<std::string, Millis> classServiceTimes; ///< by class
+        std::map<std::string, double> classAnswerBytes; ///< smoothed, by class
     };
 
     ServiceState &stateOf(const std::string &service);
--- a/packages/daemon/test/routingtable_test.cpp
+++ b/packages/daemon/test/routingtable_test.cpp
@@ -82,6 +82,19 @@
     EXPECT_EQ(placed("long"), "far");
 }
 
+// Guards against large answers being fetched over links between data centres while the near upstream is free.
+TEST(RoutingTableAnswerSizeTest, UsualSizeOfAnswersIsKnownByServiceAndClass)
+{
+    SeededRandom random(1);
+    RoutingTable table(Detection::Gates, profileForCost(1), random);
+    EXPECT_EQ(table.classAnswerBytes("sicil", "photo"), 0);
+    table.onAnswerSize("sicil", "photo", 90000);
+    EXPECT_EQ(table.classAnswerBytes("sicil", "photo"), 90000);
+    table.onAnswerSize("sicil", "photo", 80000);
+    EXPECT_DOUBLE_EQ(table.classAnswerBytes("sicil", "photo"), 89000);
+    EXPECT_EQ(table.classAnswerBytes("sicil", "lookup"), 0);
+}
+
 } // namespace
 
 } // namespace mustardpond
--- a/packages/decision/include/decision/placement.h
+++ b/packages/decision/include/decision/placement.h
@@ -24,7 +24,7 @@
     bool mayWait = false; ///< for a slot, at a gate whose slots are all in use
     bool includeUntrusted = false; ///< avoided upstreams are candidates too
     bool allowOtherRegions = true;
-    bool largeBody = false; ///< its body is expensive to transfer
+    bool largeBody = false; ///< its body, or the answers of its class, are expensive to transfer
 };
 
 /// Returns the candidate with the lowest expected time plus a penalty for its distance, or std::nullopt when no
