Leave the document's text out of errors of lenient JSON parsing

Cause: the library's message of a parse error quotes what it read last, and the message goes to the log; the store's documents will contain keys of callers. Change: the message ends before the quote.

--- a/packages/foundation/include/foundation/lenientjson.h
+++ b/packages/foundation/include/foundation/lenientjson.h
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include <exception>
 #include <string>
 
 namespace mustardpond {
@@ -11,6 +12,9 @@
 /// bound, since coroutines have small stacks.
 constexpr int MAX_JSON_DEPTH = 64;
 
+/// Returns the message of an error in parsing JSON without text of the parsed document, which might be secret.
+std::string messageWithoutText(const std::exception &error);
+
 /// Parses JSON text so that one odd entry costs only itself: values that are nested deeper than MAX_JSON_DEPTH are left
 /// out, numbers too large for a double become null, and invalid UTF-8 becomes replacement characters. Throws
 /// InvalidDocument with the name of the source if the text is not JSON.
--- a/packages/foundation/src/lenientjson.cpp
+++ b/packages/foundation/src/lenientjson.cpp
@@ -65,6 +65,14 @@
 
 } // namespace
 
+std::string messageWithoutText(const std::exception &error)
+{
+    // The message of a parse error quotes the text from "; last read" on, and that of an overflow quotes the number.
+    const bool isParseError = dynamic_cast<const nlohmann::json::parse_error *>(&error) != nullptr;
+    const std::string message = error.what();
+    return isParseError ? message.substr(0, message.find("; last read")) : "a value is out of range";
+}
+
 nlohmann::json parseJsonLeniently(const std::string &text, const std::string &source)
 {
     try {
@@ -75,7 +83,7 @@
     try {
         return parseWithoutDeepValues(withoutLargeNumbers(withoutInvalidUtf8(text)));
     } catch (const nlohmann::json::exception &error) {
-        throw InvalidDocument(fmt::format(ErrorMsg::INVALID_DOCUMENT, source, error.what()));
+        throw InvalidDocument(fmt::format(ErrorMsg::INVALID_DOCUMENT, source, messageWithoutText(error)));
     }
 }
 
--- a/packages/foundation/test/lenientjson_test.cpp
+++ b/packages/foundation/test/lenientjson_test.cpp
@@ -49,6 +49,22 @@
     EXPECT_THROW(parseJsonLeniently("", "the list"), InvalidDocument);
 }
 
+// The store's texts contain keys of callers, and the message goes to the log.
+TEST(LenientJsonTest, ErrorsDoNotQuoteTheText)
+{
+    for (const char *const text :
+         {R"(["a", "secret)", R"(["secret" "secret"])", "[secret]", "[1,\"secret\n\"]", R"(["secret\q"])"}) {
+        try {
+            parseJsonLeniently(text, "the list");
+            FAIL() << text;
+        } catch (const InvalidDocument &error) {
+            const std::string message = error.what();
+            EXPECT_EQ(message.find("secret"), std::string::npos) << message;
+            EXPECT_NE(message.find("parse error at line"), std::string::npos) << message;
+        }
+    }
+}
+
 } // namespace
 
 } // namespace mustardpond
