Read organisations and their keys, kept as salted hashes

Cause: a deployment's configuration lists organisations with keys, which must not be kept or sent as plain text. What is invalid is left out alone and reported. A configuration without the field gives the same bundle text as before.

--- a/packages/config/include/config/configsnapshot.h
+++ b/packages/config/include/config/configsnapshot.h
@@ -3,6 +3,7 @@
 
 #include "config/objects.h"
 #include "config/objecttable.h"
+#include "config/organisationtable.h"
 
 #include <functional>
 #include <memory>
@@ -35,6 +36,11 @@
     {
         return m_callerLimits;
     }
+    /// Returns null if the configuration has no organisations, so that callers need no key.
+    const std::shared_ptr<const OrganisationTable> &organisations() const
+    {
+        return m_organisations;
+    }
     const std::vector<ApprovedRefusal> &refusals() const
     {
         return m_refusals;
@@ -72,6 +78,7 @@
     std::unordered_map<std::string, WorkClass> m_workClasses;
     std::unordered_map<std::string, std::vector<RouteObject>> m_routes; ///< by host and prefix
     std::optional<CallerLimits> m_callerLimits;
+    std::shared_ptr<const OrganisationTable> m_organisations;
     std::vector<ApprovedRefusal> m_refusals;
     std::unordered_map<std::string, std::uint64_t> m_versions;
     std::size_t m_routeCount = 0;
@@ -85,8 +92,9 @@
 class ConfigBuilder
 {
 public:
-    explicit ConfigBuilder(InvalidObjectHandler onInvalid)
+    explicit ConfigBuilder(InvalidObjectHandler onInvalid, LeftOutHandler onLeftOut = {})
         : m_onInvalid(std::move(onInvalid))
+        , m_onLeftOut(std::move(onLeftOut))
     {
     }
 
@@ -103,11 +111,13 @@
     void remove(ObjectKind kind, const std::string &name);
 
     InvalidObjectHandler m_onInvalid;
+    LeftOutHandler m_onLeftOut;
     ByName<ServiceObject> m_services;
     ByName<WorkClass> m_workClasses;
     ByName<RouteObject> m_routes;
     ByName<RefusalObject> m_refusals;
     std::optional<CallerLimits> m_callerLimits;
+    std::shared_ptr<const OrganisationTable> m_organisations;
     std::unordered_map<std::string, std::uint64_t> m_versions;
 };
 
--- a/packages/config/include/config/objects.h
+++ b/packages/config/include/config/objects.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/objectstore.h"
+#include "config/organisationlist.h"
 #include "decision/refusal.h"
 #include "decision/workclass.h"
 #include "foundation/enumtable.h"
@@ -48,6 +49,7 @@
     std::vector<std::string> methods; ///< empty for any
     std::vector<RoutePart> parts; ///< one or several, which share the requests by weight
     std::string workClass;
+    bool keyExempt = false; ///< callers need no key, even if the configuration has organisations
 };
 
 struct DirectorObject {
@@ -91,6 +93,7 @@
     std::vector<ServiceObject> services;
     std::vector<RouteObject> routes;
     std::optional<CallerLimits> callerLimits;
+    std::optional<OrganisationList> organisations; ///< without it, nobody needs a key
 };
 
 /// A request that was running when an upstream crashed. Daemons exchange these objects among themselves; they are not
--- a/packages/config/src/configsnapshot.cpp
+++ b/packages/config/src/configsnapshot.cpp
@@ -151,6 +151,8 @@
         m_routes[route.name] = std::move(route);
     }
     m_callerLimits = bundle.callerLimits;
+    m_organisations =
+        bundle.organisations ? std::make_shared<const OrganisationTable>(*bundle.organisations, m_onLeftOut) : nullptr;
 }
 
 void ConfigBuilder::remove(ObjectKind kind, const std::string &name)
@@ -186,6 +188,7 @@
         snapshot->m_newestVersion = std::max(snapshot->m_newestVersion, version);
     }
     snapshot->m_callerLimits = m_callerLimits;
+    snapshot->m_organisations = m_organisations;
     for (const auto &[name, route] : m_routes) {
         snapshot->m_routes[routeKey(route.host, route.prefix)].push_back(route);
     }
--- a/packages/config/src/objects.cpp
+++ b/packages/config/src/objects.cpp
@@ -119,6 +119,7 @@
     route.methods = reader.texts("methods");
     route.parts = partsFrom(reader);
     route.workClass = reader.text("class");
+    route.keyExempt = reader.flag("keyExempt", false);
     reader.rejectUnknownFields();
     return route;
 }
@@ -180,6 +181,9 @@
     if (reader.has("callerLimits")) {
         bundle.callerLimits = callerLimitsFrom(reader.object("callerLimits"));
     }
+    if (reader.has("organisations")) {
+        bundle.organisations = organisationListFrom(reader.object("organisations"));
+    }
     reader.rejectUnknownFields();
     return bundle;
 }
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -6,7 +6,7 @@
 PACKAGES=(
     g++ cmake ninja-build ccache git curl clang-format clang-tidy clang libclang-rt-14-dev spin
     libcaf-dev libboost-dev libboost-coroutine-dev libboost-context-dev libflatbuffers-dev flatbuffers-compiler
-    libcli11-dev libspdlog-dev libfmt-dev nlohmann-json3-dev libxxhash-dev zlib1g-dev
+    libcli11-dev libspdlog-dev libfmt-dev nlohmann-json3-dev libxxhash-dev libsodium-dev zlib1g-dev
     libgtest-dev libgmock-dev libbenchmark-dev
 )
 
