Answer 401 to requests without a known key and pass on the organisation

Cause: with organisations in the configuration, callers must prove by a key on whose behalf they ask. Change: the router checks the field Authorization after the route (callerauthentication), removes the key and the caller's own value of the organisation's field, adds the organisation's name, and lets its priority replace that of the class of work. Exempt routes and inner calls need no key. Events E610 to E612, and a counter of refusals by cause. Without organisations nothing is checked, removed or counted.

--- a/packages/daemon/src/control/memberactor.cpp
+++ b/packages/daemon/src/control/memberactor.cpp
@@ -58,6 +58,15 @@
     return seeds;
 }
 
+void logLeftOut(const LeftOutOrganisation &leftOut)
+{
+    nlohmann::json fields = {{"organisation", leftOut.name}, {"reason", leftOut.reason}};
+    if (leftOut.keys > 0) {
+        fields["keys"] = leftOut.keys;
+    }
+    logEvent(leftOut.keys > 0 ? Event::KeysLeftOut : Event::OrganisationLeftOut, fields);
+}
+
 /// The state of the actor.
 class MemberDriver
 {
@@ -67,10 +76,13 @@
         , m_seeds(seedsFrom(settings))
         , m_membership(selfFrom(settings, incarnation), {}, m_random)
         , m_output(std::move(output))
-        , m_builder([](const StoredObject &object, const std::string &cause) {
-            logEvent(Event::ObjectInvalid,
-                     {{"kind", object.kind}, {"name", object.name}, {"version", object.version}, {"cause", cause}});
-        })
+        , m_builder(
+              [](const StoredObject &object, const std::string &cause) {
+                  logEvent(
+                      Event::ObjectInvalid,
+                      {{"kind", object.kind}, {"name", object.name}, {"version", object.version}, {"cause", cause}});
+              },
+              logLeftOut)
     {
         m_membership.setSeeds(m_seeds);
     }
--- a/packages/daemon/src/dialect/callerdialect.h
+++ b/packages/daemon/src/dialect/callerdialect.h
@@ -44,6 +44,8 @@
     virtual bool isForRouter(beast::string_view name) const = 0;
     /// Returns the name of the field that carries the caller's service to an upstream; empty if there is none.
     virtual std::string callerField() const = 0;
+    /// Returns the name of the field that carries the organisation of the caller's key to an upstream.
+    virtual std::string organisationField() const = 0;
     /// Whether callers may open operations.
     virtual bool hasOperations() const = 0;
     virtual http::status statusOf(const RouterAnswer &answer) const = 0;
--- a/packages/daemon/src/dialect/owndialect.cpp
+++ b/packages/daemon/src/dialect/owndialect.cpp
@@ -57,6 +57,11 @@
     return {};
 }
 
+std::string OwnCallerDialect::organisationField() const
+{
+    return ORGANISATION_FIELD;
+}
+
 bool OwnCallerDialect::hasOperations() const
 {
     return true;
@@ -84,6 +89,9 @@
     const auto outcome = nameOf(OUTCOME_NAMES, answer.outcome);
     const auto reason = nameOf(NOT_RUN_REASON_NAMES, answer.reason);
     response.set(http::field::content_type, "application/json");
+    if (response.result() == http::status::unauthorized) {
+        response.set(http::field::www_authenticate, "Bearer");
+    }
     response.set(OUTCOME_FIELD, beast::string_view(outcome.data(), outcome.size()));
     const nlohmann::json document = {{"outcome", outcome}, {"reason", reason}, {"detail", answer.detail}};
     response.body() = document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/packages/daemon/src/dialect/owndialect.h
+++ b/packages/daemon/src/dialect/owndialect.h
@@ -13,6 +13,7 @@
     CallerMetadata read(const http::fields &head) const override;
     bool isForRouter(beast::string_view name) const override;
     std::string callerField() const override;
+    std::string organisationField() const override;
     bool hasOperations() const override;
     http::status statusOf(const RouterAnswer &answer) const override;
     void writeAnswer(const RouterAnswer &answer, http::response<http::string_body> &response) const override;
--- a/packages/daemon/src/metrics.h
+++ b/packages/daemon/src/metrics.h
@@ -38,6 +38,11 @@
     {
         ++m_handOvers[service];
     }
+    /// Counts a request that is refused for its key.
+    void addUnauthenticated(const std::string &cause)
+    {
+        ++m_unauthenticated[cause];
+    }
     /// Counts bytes sent between regions on behalf of an organisation.
     void addRegionBytes(const std::string &organisation, std::uint64_t bytes)
     {
@@ -52,6 +57,7 @@
     std::unique_ptr<Histograms> m_histograms;
     std::map<std::string, std::uint64_t> m_retries;
     std::map<std::string, std::uint64_t> m_handOvers;
+    std::map<std::string, std::uint64_t> m_unauthenticated; ///< by cause
     std::map<std::string, std::uint64_t> m_regionBytes;
 };
 
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -203,7 +203,7 @@
     request.service = match.service->name;
     request.workClass = *match.workClass;
     request.organisation = m_router.dialect().read(m_parser->get()).organisation;
-    if (refuse(request, yield)) {
+    if (refuseUnauthenticated(request, *match.route, yield) || refuse(request, yield)) {
         return;
     }
     request.deadline = m_router.clock().now() + OPEN_TIMEOUT;
@@ -274,20 +274,35 @@
         replyProblem(http::status::not_found, "no route for " + std::string(head.target()), yield);
         return false;
     }
-    request.service = m_router.nextServiceOf(*match.route);
     request.workClass = *match.workClass;
     request.id = metadata.requestId;
     request.organisation = metadata.organisation;
+    request.inner = isInner(metadata);
+    if (refuseUnauthenticated(request, *match.route, yield)) {
+        return false;
+    }
+    request.service = m_router.nextServiceOf(*match.route);
     request.operation = metadata.operation;
     request.method = std::string(head.method_string());
     request.target = std::string(head.target());
-    request.inner = isInner(metadata);
     const Millis limit = request.workClass.deadline;
     request.deadline = m_router.clock().now() + Millis(std::min(metadata.timeLeft.value_or(limit).value, limit.value));
     copyHeaders(request);
     return true;
 }
 
+bool CallerSession::refuseUnauthenticated(CallerRequest &request, const RouteObject &route, const Yield &yield)
+{
+    const auto config = m_router.view().config;
+    const KeyProblem problem = authenticate(*config, route, m_parser->get(), request);
+    if (problem == KeyProblem::None) {
+        return false;
+    }
+    m_router.refusedKeys().add(problem, route.parts.front().service, m_router.clock().now());
+    replyProblem(http::status::unauthorized, describe(problem), yield);
+    return true;
+}
+
 bool CallerSession::refuse(const CallerRequest &request, const Yield &yield)
 {
     if (!request.operation.empty()) {
@@ -389,6 +404,7 @@
         header->value = m_router.settings().service;
         request.headers.push_back(std::move(header));
     }
+    replaceKeyFields(*m_router.view().config, m_router.dialect().organisationField(), request);
 }
 
 bool CallerSession::isConnectionField(const std::string &name) const
--- a/packages/daemon/src/router/callersession.h
+++ b/packages/daemon/src/router/callersession.h
@@ -45,6 +45,8 @@
     void openOperation(const Yield &yield);
     void proxy(const Yield &yield);
     bool classify(CallerRequest &request, const Yield &yield);
+    /// Answers 401 if the request lacks a key that its route needs. Returns whether it did.
+    bool refuseUnauthenticated(CallerRequest &request, const RouteObject &route, const Yield &yield);
     bool refuse(const CallerRequest &request, const Yield &yield);
     bool readBody(CallerRequest &request, const Yield &yield);
     void copyHeaders(CallerRequest &request) const;
--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -6,6 +6,7 @@
 #include "dialects.h"
 #include "dispatch.h"
 #include "net/listener.h"
+#include "refusedkeys.h"
 
 #include "foundation/kernel.h"
 
@@ -117,6 +118,10 @@
     {
         return m_metrics;
     }
+    RefusedKeys &refusedKeys()
+    {
+        return m_refusedKeys;
+    }
     BurnMeter &burn()
     {
         return m_burn;
@@ -144,6 +149,7 @@
     RoutingTable m_table;
     GatePool m_pool;
     Metrics m_metrics;
+    RefusedKeys m_refusedKeys{m_metrics};
     BurnMeter m_burn;
     std::uint64_t m_lastRequestNumber = 0;
     DispatchContext m_dispatch;
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -40,6 +40,9 @@
     CallerRejected = 601,
     AnswerDiscarded = 602,
     AnswerForeign = 603,
+    OrganisationLeftOut = 610,
+    KeysLeftOut = 611,
+    CallerUnauthenticated = 612,
     RequestRefused = 700,
     RequestFailed = 701,
     RequestMoved = 702,
@@ -51,7 +54,7 @@
     AddressBusy = 106,
 };
 
-constexpr EnumTable<Event, 39> EVENT_NAMES = {{
+constexpr EnumTable<Event, 42> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -82,6 +85,9 @@
     {Event::AnnouncementLate, "announcement-late"},
     {Event::AnnouncementInvalid, "announcement-invalid"},
     {Event::AnswerForeign, "answer-foreign"},
+    {Event::OrganisationLeftOut, "organisation-left-out"},
+    {Event::KeysLeftOut, "keys-left-out"},
+    {Event::CallerUnauthenticated, "caller-unauthenticated"},
     {Event::RequestRefused, "request-refused"},
     {Event::RequestFailed, "request-failed"},
     {Event::RequestMoved, "request-moved"},
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -44,6 +44,8 @@
     case Event::RefusalRequested:
     case Event::PeerRejected:
     case Event::AnswerDiscarded:
+    case Event::OrganisationLeftOut:
+    case Event::KeysLeftOut:
         return true;
     default:
         return false;
