Carry proofs of the newest configuration in pings and their answers

A member that is cut off from the store learns the newest version from its peers. Questions are pings with numbers of their own, kept apart from the failure detector's probe; only answers to outstanding numbers count, dated when the ping was sent.

--- a/packages/decision/include/decision/configfreshness.h
+++ b/packages/decision/include/decision/configfreshness.h
@@ -51,6 +51,12 @@
         return m_usable;
     }
 
+    /// Whether a proof has shown that a version exists which is not in force here.
+    bool isMissingVersion() const
+    {
+        return m_latest && m_latest->version > m_applied;
+    }
+
     Millis nextQuestion() const;
     /// Returns whom to ask, if a question is due, and counts it as asked.
     std::optional<ProofPeer> takeQuestion(Millis now);
--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -5,6 +5,7 @@
 #include "foundation/random.h"
 #include "membership/member.h"
 #include "membership/objectrecordencoder.h"
+#include "membership/proofexchange.h"
 #include "membership/rumours.h"
 
 #include <map>
@@ -68,6 +69,17 @@
     bool publishObject(const StoredObject &object);
     /// Applies an object and, if it is new, disseminates it as a rumour. Returns false when the object is not new.
     bool applyObject(const StoredObject &object);
+    /// Exchanges proofs that the configuration is the newest. Without this call, pings and their answers carry none.
+    void useProofs(Millis maxAge);
+    /// Returns null unless proofs are exchanged.
+    ProofExchange *proofs()
+    {
+        return m_proofs ? &*m_proofs : nullptr;
+    }
+    const ProofExchange *proofs() const
+    {
+        return m_proofs ? &*m_proofs : nullptr;
+    }
     /// Returns the time of the next tick() that has work to do.
     Millis nextDue() const;
 
@@ -124,15 +136,18 @@
     std::string randomPeerAddress();
     std::string reconnectAddress();
     void pullFromSeeds(std::vector<OutgoingGossip> &out);
-    void answerPing(const wire::GossipT &message, std::vector<OutgoingGossip> &out);
+    void askForProof(Millis now, std::vector<OutgoingGossip> &out);
+    /// Returns the member to ask: one of the kind, or else of the next kind that has members.
+    std::string proofTarget(ProofPeer kind);
+    std::vector<std::string> proofPeers(ProofPeer kind) const;
+    void answerPing(const wire::GossipT &message, Millis now, std::vector<OutgoingGossip> &out);
     /// Sends the objects with a higher version than newerThan.
     void sendObjects(std::uint64_t newerThan, const std::string &address, std::vector<OutgoingGossip> &out);
     void answerPull(const wire::PullRequestT &pull, const std::string &address, std::vector<OutgoingGossip> &out);
-    void handleAck(const wire::AckT &ack, std::vector<OutgoingGossip> &out);
+    void handleAck(const wire::AckT &ack, Millis now, std::vector<OutgoingGossip> &out);
     void compareDigests(const wire::GossipT &message, std::vector<OutgoingGossip> &out);
     wire::GossipT newMessage() const;
-    /// Returns a ping to the member that is being probed.
-    wire::GossipT newPing() const;
+    wire::GossipT newPing(std::uint64_t number, const std::string &target) const;
     /// @param local whether the message stays in the data centre, so that it may carry large objects
     void attachRumours(wire::GossipT &message, bool local = true);
     std::vector<std::string> peers(bool sameDataCentre) const;
@@ -157,6 +172,7 @@
     std::vector<MemberChange> m_memberChanges;
     std::vector<StoredObject> m_objectChanges;
     bool m_synced = false;
+    std::optional<ProofExchange> m_proofs;
     std::vector<std::string> m_objectsToPush; ///< keys of published objects not yet sent to the data centre
 };
 
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -24,6 +24,7 @@
 constexpr std::size_t REMOTE_RUMOUR_ONE_IN = 12;
 /// One digest in four goes to a seed or a dead member; of the rest, one in four goes to another data centre.
 constexpr std::size_t REMOTE_DIGEST_ONE_IN = 4;
+constexpr unsigned PROOF_PEER_KINDS = 3;
 
 std::string keyOf(const Incarnation &incarnation)
 {
@@ -86,6 +87,14 @@
     return true;
 }
 
+void Membership::useProofs(Millis maxAge)
+{
+    m_proofs.emplace(maxAge, m_random.uniform());
+    // An answer to an earlier process at this address must not be taken for an answer to this one: it would date the
+    // proof too late. So the numbers of pings do not start at the same value again.
+    m_nextProbeNumber = m_random.next();
+}
+
 std::vector<OutgoingGossip> Membership::tick(Millis now)
 {
     std::vector<OutgoingGossip> out;
@@ -99,6 +108,7 @@
             probe(now, out);
         }
     }
+    askForProof(now, out);
     pushObjects(out);
     if (now >= m_nextRumour) {
         m_nextRumour = now + m_timings.rumourPeriod;
@@ -123,6 +133,9 @@
     if (m_probe) {
         due = std::min(due, m_probe->sentAt + (m_probe->indirect ? m_timings.indirectTimeout : m_timings.probeTimeout));
     }
+    if (m_proofs) {
+        due = std::min(due, m_proofs->nextDue());
+    }
     for (const auto &[key, entry] : m_members) {
         if (entry.member.state == MemberState::Suspect) {
             due = std::min(due, entry.since + m_timings.suspicionTimeout);
@@ -148,10 +161,10 @@
         m_synced = true;
     }
     if (message.ping) {
-        answerPing(message, out);
+        answerPing(message, now, out);
     }
     if (message.ack) {
-        handleAck(*message.ack, out);
+        handleAck(*message.ack, now, out);
     }
     if (message.pull) {
         answerPull(*message.pull, message.replyTo, out);
@@ -240,7 +253,7 @@
         return;
     }
     m_probe = Probe{m_nextProbeNumber++, key, now, false};
-    wire::GossipT message = newPing();
+    wire::GossipT message = newPing(m_probe->number, m_probe->key);
     attachRumours(message);
     out.push_back({target->second.member.inner, std::move(message)});
 }
@@ -293,7 +306,7 @@
             if (key == m_probe->key) {
                 continue;
             }
-            wire::GossipT message = newPing();
+            wire::GossipT message = newPing(m_probe->number, m_probe->key);
             message.ping->onBehalfOf = m_self.inner;
             out.push_back({m_members[key].member.inner, std::move(message)});
         }
@@ -306,7 +319,53 @@
     }
 }
 
-void Membership::answerPing(const wire::GossipT &message, std::vector<OutgoingGossip> &out)
+void Membership::askForProof(Millis now, std::vector<OutgoingGossip> &out)
+{
+    const auto kind = m_proofs ? m_proofs->takeQuestion(now) : std::nullopt;
+    const std::string key = kind ? proofTarget(*kind) : std::string();
+    if (key.empty()) {
+        return;
+    }
+    const std::uint64_t number = m_nextProbeNumber++;
+    const Member &target = m_members[key].member;
+    wire::GossipT message = newPing(number, key);
+    if (target.dataCentre != m_self.dataCentre && !m_proofs->freshness().isMissingVersion()) {
+        message.newestObject = 0; // objects come from the data centre, not over paid links
+    }
+    m_proofs->onAsked(number, key, now);
+    out.push_back({target.inner, std::move(message)});
+}
+
+std::string Membership::proofTarget(ProofPeer kind)
+{
+    for (unsigned step = 0; step < PROOF_PEER_KINDS; ++step) {
+        const auto next = static_cast<ProofPeer>((static_cast<unsigned>(kind) + step) % PROOF_PEER_KINDS);
+        const auto pool = proofPeers(next);
+        if (pool.empty()) {
+            continue;
+        }
+        const bool inTurn = next == ProofPeer::Watcher; // one of two may not answer
+        return pool[inTurn ? m_proofs->nextTurn() % pool.size() : m_random.below(pool.size())];
+    }
+    return {};
+}
+
+std::vector<std::string> Membership::proofPeers(ProofPeer kind) const
+{
+    if (kind != ProofPeer::Watcher) {
+        return peers(kind == ProofPeer::SameDataCentre);
+    }
+    std::vector<std::string> keys;
+    for (const std::string &key : m_proofs->watchers()) {
+        const auto found = m_members.find(key);
+        if (found != m_members.end() && key != keyOf(m_self.incarnation) && acceptsRequests(found->second.member)) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
+void Membership::answerPing(const wire::GossipT &message, Millis now, std::vector<OutgoingGossip> &out)
 {
     const wire::PingT &ping = *message.ping;
     const std::string selfKey = keyOf(m_self.incarnation);
@@ -328,6 +387,9 @@
     reply.ack->from = selfKey;
     reply.ack->onBehalfOf = ping.onBehalfOf;
     reply.ack->target = ping.target;
+    if (m_proofs) {
+        m_proofs->writeProof(*reply.ack, now);
+    }
     attachRumours(reply);
     if (ping.target != selfKey) {
         // The target's address has been reused by this node: send its record to the prober.
@@ -336,7 +398,7 @@
     out.push_back({ping.from, std::move(reply)});
 }
 
-void Membership::handleAck(const wire::AckT &ack, std::vector<OutgoingGossip> &out)
+void Membership::handleAck(const wire::AckT &ack, Millis now, std::vector<OutgoingGossip> &out)
 {
     const bool isOwn = ack.onBehalfOf.empty() || ack.onBehalfOf == m_self.inner;
     if (!isOwn) {
@@ -345,9 +407,15 @@
         out.push_back({ack.onBehalfOf, std::move(relayed)});
         return;
     }
+    if (m_proofs) {
+        m_proofs->onAnswer(ack, now);
+    }
     if (!m_probe || m_probe->number != ack.number || m_probe->key != ack.target) {
         return;
     }
+    if (m_proofs) {
+        m_proofs->add(ack, m_probe->sentAt, now);
+    }
     if (ack.from != ack.target) {
         const auto replaced = m_members.find(ack.target);
         if (replaced != m_members.end() && acceptsRequests(replaced->second.member)) {
@@ -520,14 +588,14 @@
     return message;
 }
 
-wire::GossipT Membership::newPing() const
+wire::GossipT Membership::newPing(std::uint64_t number, const std::string &target) const
 {
     wire::GossipT message = newMessage();
     message.newestObject = m_objects.newestVersion();
     message.ping = std::make_unique<wire::PingT>();
-    message.ping->number = m_probe->number;
+    message.ping->number = number;
     message.ping->from = m_self.inner;
-    message.ping->target = m_probe->key;
+    message.ping->target = target;
     return message;
 }
 
