Refuse keys without a recent proof that the configuration is the newest

Where 'keys.strict' is set, answers of the store prove the newest version from the moment of the question on, so watches last a fifth of the maximum age at most. The member actor hands proofs to the router, whose acceptsKeys() and keyAdmission().refuse() serve the check of a request. An unreadable bundle may withdraw keys, so nothing is proved while it is the newest.

--- a/packages/config/include/config/objectstore.h
+++ b/packages/config/include/config/objectstore.h
@@ -22,6 +22,7 @@
 struct Listing {
     std::uint64_t revision = 0;
     std::vector<StoredObject> objects;
+    std::vector<StoredObject> unreadable; ///< left out of objects; without value, name and version if they are unknown
 };
 
 /// All calls block, and throw StoreOutage if the platform fails or does not answer in time; a write may have taken
--- /dev/null
+++ b/packages/daemon/src/control/bundleinforce.h
@@ -0,0 +1,16 @@
+/// The bundle that a configuration was built from.
+#pragma once
+
+#include "config/configsnapshot.h"
+
+#include <cstdint>
+
+namespace mustardpond {
+
+/// Returns the version of the bundle in force, the only object of its kind; 0 without one.
+std::uint64_t bundleVersion(const ConfigSnapshot &config);
+
+/// Whether the configuration has organisations, whose requests need keys.
+bool hasOrganisations(const ConfigSnapshot &config);
+
+} // namespace mustardpond
--- a/packages/daemon/src/control/controlmessages.h
+++ b/packages/daemon/src/control/controlmessages.h
@@ -3,6 +3,7 @@
 
 #include "config/objects.h"
 #include "config/objectstore.h"
+#include "decision/configfreshness.h"
 #include "fleetview.h"
 #include "membership/member.h"
 
@@ -35,6 +36,11 @@
     std::vector<StoredObject> objects;
 };
 
+/// By an answer of the platform's store, the configuration was this version at that time.
+struct StoreProved {
+    FreshnessProof proof;
+};
+
 /// Whether the platform's store answers this daemon's requests.
 struct StoreReachability {
     bool reachable = true;
@@ -77,6 +83,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::UpstreamsChanged)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::LeaveRequested)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::StoreChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::StoreProved)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::RefusalRequested)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::StoreReachability)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(mustardpond::RecordRequested)
--- a/packages/daemon/src/control/controlplane.cpp
+++ b/packages/daemon/src/control/controlplane.cpp
@@ -39,6 +39,7 @@
     std::shared_ptr<GossipSender> sender;
     ViewHandler onView;
     CrashHandler onCrash;
+    ProofHandler onProof;
     RestoreHandler onRestore;
     std::uint64_t nextRecord = 0;
     caf::actor members;
@@ -67,6 +68,11 @@
     m_actors->onCrash = std::move(handler);
 }
 
+void ControlPlane::onProof(ProofHandler handler)
+{
+    m_actors->onProof = std::move(handler);
+}
+
 void ControlPlane::onRestore(UpstreamsHandler handler)
 {
     m_actors->onRestore = [actors = m_actors.get(), handler = std::move(handler)](const auto &upstreams) {
@@ -87,6 +93,9 @@
     output.notifyCrash = [actors = m_actors.get()](std::uint64_t fingerprint) {
         asio::post(actors->context, [handler = actors->onCrash, fingerprint] { handler(fingerprint); });
     };
+    output.notifyProof = [actors = m_actors.get()](const FreshnessProof &proof) {
+        asio::post(actors->context, [handler = actors->onProof, proof] { handler(proof); });
+    };
     output.removeRecord = [actors = m_actors.get()](const std::string &node, Incarnation incarnation) {
         caf::anon_send(actors->records, RemovalRequested{node, incarnation, 0});
     };
--- a/packages/daemon/src/control/controlplane.h
+++ b/packages/daemon/src/control/controlplane.h
@@ -4,6 +4,7 @@
 
 #include "config/daemonsettings.h"
 #include "config/objects.h"
+#include "decision/configfreshness.h"
 #include "fleetview.h"
 #include "net/net.h"
 #include "wire/generated/frames_generated.h"
@@ -23,6 +24,7 @@
     using ViewHandler = std::function<void(std::shared_ptr<const FleetView>)>;
 
     using CrashHandler = std::function<void(std::uint64_t fingerprint)>;
+    using ProofHandler = std::function<void(const FreshnessProof &)>;
     using UpstreamsHandler = std::function<void(const std::vector<UpstreamInfo> &)>;
     /// Creates a client of the platform's store. Each client is used by one thread.
     using StoreOpener = std::function<std::unique_ptr<ObjectStore>()>;
@@ -36,6 +38,9 @@
     void onView(ViewHandler handler);
     /// Called, on the request path's thread, for each crash that another daemon has reported.
     void onCrash(CrashHandler handler);
+    /// Called, on the request path's thread, with younger proofs that the configuration in force is the newest; after
+    /// the view with that configuration.
+    void onProof(ProofHandler handler);
     /// Called, on the request path's thread, with the upstream states that an earlier process of this daemon stored.
     void onRestore(UpstreamsHandler handler);
     void start() override;
--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -125,7 +125,7 @@
     response.set(http::field::content_type, "application/json");
     if (request.target() == "/metrics") {
         response.set(http::field::content_type, "text/plain; version=0.0.4");
-        response.body() = m_router.metrics().exposition();
+        response.body() = m_router.metrics().exposition() + m_router.keyAdmission().exposition(m_clock.now());
     } else if (request.target() == "/status") {
         response.body() = statusText();
     } else if (request.target() == "/config") {
@@ -206,6 +206,13 @@
     nlohmann::json document = {
         {"node", m_settings.node},       {"region", m_settings.region},     {"dataCentre", m_settings.dataCentre},
         {"configured", view.configured}, {"leaving", m_router.isLeaving()}, {"members", nlohmann::json::array()}};
+    if (m_router.keyAdmission().isStrict()) {
+        const auto &proof = m_router.keyAdmission().proof();
+        const auto age = m_router.proofAge();
+        document["proof"] = {{"ageMs", age ? nlohmann::json(age->value) : nlohmann::json()},
+                             {"version", proof ? proof->version : 0},
+                             {"acceptsKeys", m_router.acceptsKeys()}};
+    }
     for (const Member &member : view.members) {
         nlohmann::json upstreams = nlohmann::json::array();
         for (const UpstreamInfo &upstream : member.upstreams) {
--- a/packages/daemon/src/control/memberactor.cpp
+++ b/packages/daemon/src/control/memberactor.cpp
@@ -1,6 +1,8 @@
 #include "memberactor.h"
 
+#include "bundleinforce.h"
 #include "platformroles.h"
+#include "proofreport.h"
 
 #include "foundation/errors.h"
 #include "foundation/events.h"
@@ -64,6 +66,7 @@
 public:
     MemberDriver(const DaemonSettings &settings, Incarnation incarnation, MemberActorOutput output)
         : m_needsBundle(settings.dialect == Dialect::Platform)
+        , m_proofReport(settings.keys.maxProofAge, output.notifyProof)
         , m_seeds(seedsFrom(settings))
         , m_membership(selfFrom(settings, incarnation), {}, m_random)
         , m_output(std::move(output))
@@ -73,6 +76,9 @@
         })
     {
         m_membership.setSeeds(m_seeds);
+        if (settings.keys.strict) {
+            m_membership.useProofs(settings.keys.maxProofAge);
+        }
     }
 
     void tick()
@@ -85,7 +91,7 @@
     /// Returns the time until the next tick is due.
     Millis untilDue() const
     {
-        const Millis left = m_membership.nextDue() - m_clock.now();
+        const Millis left = std::min(m_membership.nextDue(), m_proofReport.nextDue()) - m_clock.now();
         return Millis(std::max(MIN_SLEEP.value, std::min(MAX_SLEEP.value, left.value)));
     }
 
@@ -155,6 +161,22 @@
         publishChanges(FROM_STORE);
     }
 
+    void addProof(const FreshnessProof &proof)
+    {
+        if (m_membership.proofs()) {
+            m_membership.proofs()->freshness().add(proof, m_clock.now());
+        }
+    }
+
+    /// To be called after each step.
+    void reportProof()
+    {
+        if (const ProofExchange *proofs = m_membership.proofs()) {
+            m_proofReport.update(proofs->freshness(), m_view->config && hasOrganisations(*m_view->config),
+                                 m_clock.now());
+        }
+    }
+
     bool watches() const
     {
         return watchesPlatform(m_view->members, m_view->self);
@@ -246,9 +268,27 @@
         view->configured = m_configured && (!m_needsBundle || m_config->routeCount() > 0);
         m_view = view;
         m_output.publish(m_view);
+        updateProofs();
+    }
+
+    void updateProofs()
+    {
+        ProofExchange *proofs = m_membership.proofs();
+        if (!proofs) {
+            return;
+        }
+        std::vector<std::string> watchers;
+        for (const Incarnation &incarnation : watchersOf(m_view->members, m_view->self.dataCentre)) {
+            watchers.push_back(toString(incarnation));
+        }
+        proofs->setWatchers(std::move(watchers));
+        proofs->setNeeded(hasOrganisations(*m_view->config));
+        proofs->freshness().setWatcher(watches());
+        proofs->freshness().setApplied(bundleVersion(*m_view->config));
     }
 
     bool m_needsBundle;
+    ProofReport m_proofReport;
     SteadyClock m_clock;
     SystemRandom m_random;
     std::map<std::uint64_t, Millis> m_deadSince; ///< by the low half of the incarnation
@@ -275,6 +315,7 @@
     auto wakeAt = std::make_shared<Millis>(-1);
     // Schedules the next tick after each step. A tick left over from an earlier schedule is harmless.
     const auto finishStep = [driver, store, wakeAt, self] {
+        driver->reportProof();
         const Millis now = SteadyClock().now();
         const Millis due = now + driver->untilDue();
         if (*wakeAt <= now || due + MIN_SLEEP < *wakeAt) {
@@ -318,6 +359,10 @@
             driver->setSeesPlatform(reachability.reachable);
             finishStep();
         },
+        [driver, finishStep](const StoreProved &proved) {
+            driver->addProof(proved.proof);
+            finishStep();
+        },
         [driver, finishStep](const StoreChanged &change) {
             driver->applyObjects(change.objects);
             finishStep();
--- a/packages/daemon/src/control/memberactor.h
+++ b/packages/daemon/src/control/memberactor.h
@@ -13,11 +13,12 @@
 struct MemberActorOutput {
     std::function<void(std::vector<OutgoingGossip>)> sendGossip;
     std::function<void(std::shared_ptr<const FleetView>)> publish;
+    std::function<void(const FreshnessProof &)> notifyProof;
     std::function<void(std::uint64_t)> notifyCrash;
     std::function<void(const std::string &node, Incarnation incarnation)> removeRecord;
 };
 
-/// Returns the actor's behaviour. Handles GossipReceived, UpstreamsChanged, LeaveRequested, StoreChanged,
+/// Returns the actor's behaviour. Handles GossipReceived, UpstreamsChanged, LeaveRequested, StoreChanged, StoreProved,
 /// StoreReachability, CrashReported and TickDue. It also takes the handle of the store actor, to which it then sends
 /// WatchRole.
 caf::behavior memberActor(caf::event_based_actor *self, const DaemonSettings &settings, Incarnation incarnation,
--- a/packages/daemon/src/control/platformroles.cpp
+++ b/packages/daemon/src/control/platformroles.cpp
@@ -30,6 +30,23 @@
     return static_cast<std::size_t>(higher) < WATCHERS_PER_DATA_CENTRE;
 }
 
+std::vector<Incarnation> watchersOf(const std::vector<Member> &members, const std::string &dataCentre)
+{
+    std::vector<const Member *> eligible;
+    for (const Member &member : members) {
+        if (isEligible(member, dataCentre)) {
+            eligible.push_back(&member);
+        }
+    }
+    std::sort(eligible.begin(), eligible.end(), [](const Member *a, const Member *b) { return rank(*a) > rank(*b); });
+    eligible.resize(std::min(eligible.size(), WATCHERS_PER_DATA_CENTRE));
+    std::vector<Incarnation> watchers;
+    for (const Member *member : eligible) {
+        watchers.push_back(member->incarnation);
+    }
+    return watchers;
+}
+
 bool removesRecordOf(const Member &dead, const std::vector<Member> &members, const Member &self)
 {
     if (!self.seesPlatform || !watchesPlatform(members, self)) {
--- a/packages/daemon/src/control/storeactor.cpp
+++ b/packages/daemon/src/control/storeactor.cpp
@@ -1,12 +1,14 @@
 #include "storeactor.h"
 
 #include "noderecord.h"
+#include "storeproofs.h"
 
 #include "foundation/errors.h"
 #include "foundation/events.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -15,6 +17,8 @@
 namespace {
 
 constexpr Millis WATCH_TIMEOUT{2500}; ///< short, since a watch on a silent connection never answers
+constexpr double STRICT_WATCH_SHARE =
+    0.2; ///< of the maximum age of a proof, which an answer proves from its question on
 constexpr std::chrono::milliseconds NEXT_STEP_DELAY{1};
 constexpr std::chrono::milliseconds OUTAGE_RETRY_DELAY{500};
 
@@ -37,10 +41,17 @@
         try {
             registerNode();
             if (!m_listed) {
-                applyListing(m_store->list());
+                const Millis askedAt = m_clock.now();
+                const Listing listing = m_store->list();
+                applyListing(listing);
                 m_listed = true;
+                prove(listing, 0, askedAt);
             } else if (m_watches) {
-                applyListing(m_store->watch(m_revision, WATCH_TIMEOUT));
+                const Millis askedAt = m_clock.now();
+                const std::uint64_t revision = m_revision;
+                const Listing listing = m_store->watch(revision, watchTimeout());
+                applyListing(listing);
+                prove(listing, revision, askedAt);
             }
             setReachable(true, "");
             if (m_listed && !m_watches) {
@@ -126,6 +137,23 @@
         }
     }
 
+    Millis watchTimeout() const
+    {
+        const KeySettings &keys = m_settings.keys;
+        return keys.strict ? std::min(WATCH_TIMEOUT, keys.maxProofAge * STRICT_WATCH_SHARE) : WATCH_TIMEOUT;
+    }
+
+    /// Reports the proof in an answer, after the objects in it.
+    void prove(const Listing &listing, std::uint64_t askedRevision, Millis askedAt)
+    {
+        if (!m_settings.keys.strict) {
+            return;
+        }
+        if (const auto proof = m_proofs.onAnswer(listing, askedRevision, askedAt)) {
+            caf::anon_send(m_members, StoreProved{*proof});
+        }
+    }
+
     void setReachable(bool reachable, const std::string &cause)
     {
         if (reachable == m_reachable) {
@@ -145,6 +173,8 @@
     std::unique_ptr<ObjectStore> m_store;
     caf::actor m_members;
     RestoreHandler m_restore;
+    SteadyClock m_clock;
+    StoreProofs m_proofs;
     std::uint64_t m_revision = 0;
     bool m_listed = false;
     bool m_watches = true;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -76,6 +76,7 @@
         restoreFromPeers(*view, gate->context().registry);
         router->update(std::move(view));
     });
+    control->onProof([router = router.get()](const FreshnessProof &proof) { router->keyAdmission().setProof(proof); });
     control->onRestore([gate = gate.get()](const std::vector<UpstreamInfo> &upstreams) {
         for (const UpstreamInfo &info : upstreams) {
             gate->context().registry.restore(info);
--- a/packages/daemon/src/router/router.cpp
+++ b/packages/daemon/src/router/router.cpp
@@ -1,5 +1,6 @@
 #include "router.h"
 
+#include "bundleinforce.h"
 #include "callersession.h"
 
 #include <algorithm>
@@ -24,6 +25,7 @@
     , m_settings(settings)
     , m_dialect(std::move(dialect))
     , m_table(settings.detection, profileForCost(settings.lateDetectionCost), random)
+    , m_keyAdmission(settings.keys)
     , m_pool(context, settings.bindAddress, MAX_GATE_IDLE)
     , m_lastRequestNumber(random.next())
     , m_dispatch{context,          clock,        m_table,
@@ -111,6 +113,18 @@
     return view().configured;
 }
 
+bool Router::acceptsKeys() const
+{
+    const auto &config = view().config;
+    return m_keyAdmission.accepts(config && hasOrganisations(*config), m_clock.now());
+}
+
+std::optional<Millis> Router::proofAge() const
+{
+    const auto &proof = m_keyAdmission.proof();
+    return proof ? std::optional<Millis>(m_clock.now() - proof->at) : std::nullopt;
+}
+
 void Router::reportHeld(const std::string &service, const std::string &workClass)
 {
     if (m_onSaturation) {
--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -5,6 +5,7 @@
 #include "decision/weightedroundrobin.h"
 #include "dialects.h"
 #include "dispatch.h"
+#include "keyadmission.h"
 #include "net/listener.h"
 
 #include "foundation/kernel.h"
@@ -125,6 +126,20 @@
     {
         return m_dispatch;
     }
+    /// Whether requests with keys may be served: always unless the settings ask for a proof that the configuration is
+    /// the newest, and it has organisations. To be asked when the head has been read and again before dispatch, after
+    /// the key has been looked up in the view of that moment. keyAdmission().refuse() gives the answer otherwise.
+    bool acceptsKeys() const;
+    /// Returns the age of the proof that the configuration in force is the newest; nothing without one.
+    std::optional<Millis> proofAge() const;
+    KeyAdmission &keyAdmission()
+    {
+        return m_keyAdmission;
+    }
+    const KeyAdmission &keyAdmission() const
+    {
+        return m_keyAdmission;
+    }
     /// Waits until a configuration has been received. Returns false when the timeout has passed without one, or when
     /// the router is leaving.
     bool waitForConfiguration(Millis timeout, const Yield &yield);
@@ -142,6 +157,7 @@
     std::shared_ptr<const CallerDialect> m_dialect;
     std::map<std::string, WeightedRoundRobin> m_roundRobins; ///< by route
     RoutingTable m_table;
+    KeyAdmission m_keyAdmission;
     GatePool m_pool;
     Metrics m_metrics;
     BurnMeter m_burn;
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -35,6 +35,8 @@
     StoreUnreachable = 402,
     StoreReachable = 403,
     WatchChanged = 404,
+    KeysRefused = 410,
+    KeysAccepted = 411,
     RefusalRequested = 500,
     PeerRejected = 600,
     CallerRejected = 601,
@@ -51,7 +53,7 @@
     AddressBusy = 106,
 };
 
-constexpr EnumTable<Event, 39> EVENT_NAMES = {{
+constexpr EnumTable<Event, 41> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -75,6 +77,8 @@
     {Event::StoreUnreachable, "store-unreachable"},
     {Event::StoreReachable, "store-reachable"},
     {Event::WatchChanged, "watch-changed"},
+    {Event::KeysRefused, "keys-refused"},
+    {Event::KeysAccepted, "keys-accepted"},
     {Event::RefusalRequested, "refusal-requested"},
     {Event::PeerRejected, "peer-rejected"},
     {Event::CallerRejected, "caller-rejected"},
