--- a/packages/decision/include/decision/quotalenders.h
+++ b/packages/decision/include/decision/quotalenders.h
@@ -29,7 +29,7 @@
     {
     }
 
-    /// Takes over the data centre's members that accept requests.
+    /// Takes over the data centre's members that accept requests. All terms start when the first others become known.
     void update(std::set<std::string> members, Millis now);
     /// Starts all terms now, as the process may have missed changes.
     void restart(Millis now)
@@ -59,6 +59,8 @@
     /// @param left nodes that have left as planned, which do not count any more
     void update(const std::set<std::string> &alive, const std::set<std::string> &left, Millis now);
     bool holds(Millis now) const;
+    /// Returns the nodes that are alive or were within the last 10 s.
+    std::set<std::string> known(Millis now) const;
 
 private:
     std::set<std::string> m_alive;
--- a/packages/decision/src/quotalenders.cpp
+++ b/packages/decision/src/quotalenders.cpp
@@ -52,10 +52,13 @@
             m_leftAt[member] = now;
         }
     }
+    if (m_members.size() <= 1 && members.size() > 1) {
+        restart(now);
+    }
     m_members = std::move(members);
     if (m_leftAt.size() > MAX_REMEMBERED_NODES) {
         m_leftAt.clear();
-        m_floor = now;
+        restart(now);
     }
 }
 
@@ -101,9 +104,18 @@
 
 bool LenderMajority::holds(Millis now) const
 {
-    const auto missing = std::count_if(m_lastAlive.begin(), m_lastAlive.end(),
-                                       [now](const auto &entry) { return now - entry.second <= MAJORITY_MEMORY; });
-    return m_alive.size() > static_cast<std::size_t>(missing);
+    return 2 * m_alive.size() > known(now).size();
+}
+
+std::set<std::string> LenderMajority::known(Millis now) const
+{
+    std::set<std::string> nodes = m_alive;
+    for (const auto &[node, lastAlive] : m_lastAlive) {
+        if (now - lastAlive <= MAJORITY_MEMORY) {
+            nodes.insert(node);
+        }
+    }
+    return nodes;
 }
 
 } // namespace mustardpond
