Lend, borrow and take tokens of quotas between daemons

The lender of a data centre answers QuotaRequest, QuotaReturn and QuotaBorrow at the gate's address; routers take a token after the body has been read and before dispatch, and return it when the request has not run. Over the limit, callers get 429 with the time until there is credit.

--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -4,6 +4,7 @@
 #include "foundation/errors.h"
 #include "foundation/events.h"
 #include "net/bodybuffer.h"
+#include "quotareport.h"
 
 #include <nlohmann/json.hpp>
 
@@ -126,6 +127,9 @@
     if (request.target() == "/metrics") {
         response.set(http::field::content_type, "text/plain; version=0.0.4");
         response.body() = m_router.metrics().exposition();
+        if (m_router.quota()) {
+            response.body() += quotaExposition(*m_router.quota());
+        }
     } else if (request.target() == "/status") {
         response.body() = statusText();
     } else if (request.target() == "/config") {
@@ -229,6 +233,9 @@
                                        {"inner", member.inner},
                                        {"upstreams", upstreams}});
     }
+    if (const auto quotas = m_router.quota() ? quotaStatus(*m_router.quota()) : nullptr; !quotas.empty()) {
+        document["quotas"] = quotas;
+    }
     return document.dump();
 }
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -71,9 +71,14 @@
     auto gate = std::make_shared<Gate>(m_context, m_clock, m_incarnation, m_settings, dialects.upstream);
     auto router = std::make_shared<Router>(m_context, m_clock, m_random, m_settings, dialects.caller);
     auto control = std::make_shared<ControlPlane>(m_context, m_settings, m_incarnation, dialects.openStore);
+    auto quotaLender = std::make_shared<QuotaLender>(m_context, m_clock, m_settings);
+    gate->setQuotaLender(quotaLender);
+    router->setQuota(std::make_unique<QuotaClient>(m_context, m_clock, m_random, m_settings, *quotaLender));
     auto local = std::make_shared<LocalEndpoint>(m_context, m_clock, m_settings, *router, *gate, dialects.announcement);
-    control->onView([router = router.get(), gate = gate.get()](std::shared_ptr<const FleetView> view) {
+    control->onView([router = router.get(), gate = gate.get(),
+                     quotaLender = quotaLender.get()](std::shared_ptr<const FleetView> view) {
         restoreFromPeers(*view, gate->context().registry);
+        quotaLender->update(*view);
         router->update(std::move(view));
     });
     control->onRestore([gate = gate.get()](const std::vector<UpstreamInfo> &upstreams) {
--- a/packages/daemon/src/daemon.h
+++ b/packages/daemon/src/daemon.h
@@ -6,6 +6,7 @@
 #include "dialects.h"
 #include "gate.h"
 #include "localendpoint.h"
+#include "quotalender.h"
 #include "router.h"
 
 #include "foundation/kernel.h"
--- a/packages/daemon/src/dialect/callerdialect.h
+++ b/packages/daemon/src/dialect/callerdialect.h
@@ -28,6 +28,7 @@
     std::string detail; ///< what happened, with a remedy
     Millis retryAfter; ///< delay before the caller may retry, if the request has not run
     bool timedOut = false; ///< the deadline passed before there was an answer
+    bool overQuota = false; ///< the request's organisation is over its limit
 };
 
 /// The origin of a forwarded answer.
--- a/packages/daemon/src/dialect/owndialect.cpp
+++ b/packages/daemon/src/dialect/owndialect.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <cmath>
 
 namespace mustardpond {
 
@@ -15,6 +16,7 @@
 constexpr const char ORGANISATION_FIELD[] = "Organisation";
 constexpr const char DEADLINE_FIELD[] = "Deadline-Ms";
 constexpr const char IDEMPOTENCY_FIELD[] = "Idempotency-Key";
+constexpr double MS_PER_SECOND = 1000;
 constexpr NumberRange SLOT_RANGE{1, 10000};
 
 std::string textOf(beast::string_view text)
@@ -64,6 +66,9 @@
 
 http::status OwnCallerDialect::statusOf(const RouterAnswer &answer) const
 {
+    if (answer.overQuota) {
+        return http::status::too_many_requests;
+    }
     if (answer.outcome == Outcome::Unknown) {
         return http::status::gateway_timeout;
     }
@@ -85,6 +90,10 @@
     const auto reason = nameOf(NOT_RUN_REASON_NAMES, answer.reason);
     response.set(http::field::content_type, "application/json");
     response.set(OUTCOME_FIELD, beast::string_view(outcome.data(), outcome.size()));
+    if (answer.overQuota) {
+        const auto seconds = static_cast<std::int64_t>(std::ceil(answer.retryAfter.value / MS_PER_SECOND));
+        response.set(http::field::retry_after, std::to_string(seconds));
+    }
     const nlohmann::json document = {{"outcome", outcome}, {"reason", reason}, {"detail", answer.detail}};
     response.body() = document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/packages/daemon/src/gate/gate.cpp
+++ b/packages/daemon/src/gate/gate.cpp
@@ -76,6 +76,22 @@
         }
         return;
     default:
+        serveQuotaFrame(channel, frame, yield);
+    }
+}
+
+void Gate::serveQuotaFrame(FrameChannel &channel, wire::FrameT &frame, const Yield &yield)
+{
+    if (!m_quotaLender) {
+        rejectFrame(frame);
+    }
+    if (const auto *request = frame.body.AsQuotaRequest()) {
+        channel.send(packMessage(m_quotaLender->lend(*request, yield)), SEND_TIMEOUT, yield);
+    } else if (const auto *borrow = frame.body.AsQuotaBorrow()) {
+        channel.send(packMessage(m_quotaLender->lendTo(*borrow, yield)), SEND_TIMEOUT, yield);
+    } else if (const auto *returned = frame.body.AsQuotaReturn()) {
+        m_quotaLender->takeBack(*returned);
+    } else {
         rejectFrame(frame);
     }
 }
--- a/packages/daemon/src/gate/gate.h
+++ b/packages/daemon/src/gate/gate.h
@@ -4,6 +4,7 @@
 #include "gatecontext.h"
 #include "gaterun.h"
 #include "net/listener.h"
+#include "quotalender.h"
 
 #include "foundation/kernel.h"
 
@@ -26,6 +27,11 @@
     {
         m_onGossip = std::move(handler);
     }
+    /// Serves messages of quotas, which are rejected without a lender.
+    void setQuotaLender(std::shared_ptr<QuotaLender> lender)
+    {
+        m_quotaLender = std::move(lender);
+    }
     void start() override;
     void stop() override;
 
@@ -48,6 +54,7 @@
     void tickDetectors(const Yield &yield);
     void serve(tcp::socket socket, const Yield &yield);
     void serveFrame(FrameChannel &channel, wire::FrameT &frame, const Yield &yield);
+    void serveQuotaFrame(FrameChannel &channel, wire::FrameT &frame, const Yield &yield);
     void openOperation(FrameChannel &channel, const wire::OpenOperationT &request, const Yield &yield);
     void closeOperation(FrameChannel &channel, const wire::CloseOperationT &request, const Yield &yield);
     void runRequest(FrameChannel &channel, wire::ProxyRequestT request, const Yield &yield);
@@ -56,6 +63,7 @@
     GateContext m_gate;
     std::shared_ptr<Listener> m_listener;
     GossipHandler m_onGossip;
+    std::shared_ptr<QuotaLender> m_quotaLender;
     bool m_stopped = false;
 };
 
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -10,6 +10,7 @@
 #include "messagehead.h"
 #include "net/bodybuffer.h"
 #include "operationopener.h"
+#include "quotaadmission.h"
 #include "regionbytecounter.h"
 #include "router.h"
 
@@ -238,12 +239,16 @@
         return;
     }
     m_stream.expires_never();
+    if (auto refused = refuseByQuota(m_router.quota(), request, yield)) {
+        return reply(request, std::move(*refused), startedAt, yield);
+    }
     Dispatch dispatch(m_router.dispatchContext(), request);
     watchCaller(request, dispatch);
     m_dispatch = &dispatch;
     DispatchResult result = dispatch.run(yield);
     m_dispatch = nullptr;
     stopWatching();
+    settleQuota(m_router.quota(), request, result);
     if (dispatch.hasCallerLeft()) {
         m_keepOpen = false;
         return;
@@ -456,12 +461,17 @@
         return replyRan(request, result, yield);
     }
     RouterAnswer routerAnswer{static_cast<Outcome>(result.answer.outcome),
-                              static_cast<NotRunReason>(result.answer.reason), result.answer.detail, result.retryAfter,
-                              result.timedOut};
+                              static_cast<NotRunReason>(result.answer.reason),
+                              result.answer.detail,
+                              result.retryAfter,
+                              result.timedOut,
+                              result.overQuota};
     if (routerAnswer.reason == NotRunReason::Quarantined) {
         routerAnswer.retryAfter = QUARANTINE_RETRY_AFTER;
     }
-    logRouterAnswer(request, routerAnswer, result, startedAt);
+    if (!result.overQuota) { // logged by organisation, as there may be many
+        logRouterAnswer(request, routerAnswer, result, startedAt);
+    }
     replyRouterAnswer(m_router.dialect().statusOf(routerAnswer), routerAnswer, yield);
 }
 
@@ -506,6 +516,7 @@
     finished.retried = result.retried;
     finished.spilled = result.distance == Distance::OtherRegion;
     finished.held = result.held;
+    finished.refused = result.overQuota;
     m_router.burn().add(finished, now);
     if (outcome == Outcome::Ran) {
         logEvent(succeeded && !finished.good ? Event::RequestLate : Event::RequestAnswered,
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -50,6 +50,7 @@
     int gatesAsked = 0; ///< number of attempts, each at one gate
     bool timedOut = false; ///< the deadline has passed without an answer
     Millis retryAfter; ///< delay after which the caller may send a request again that has not run
+    bool overQuota = false; ///< not run since its organisation is over its limit
 };
 
 /// State and settings that all dispatches of a router share.
--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -6,6 +6,7 @@
 #include "dialects.h"
 #include "dispatch.h"
 #include "net/listener.h"
+#include "quotaclient.h"
 
 #include "foundation/kernel.h"
 
@@ -35,6 +36,16 @@
     {
         m_table.update(std::move(view));
     }
+    /// Limits the requests of organisations from now on.
+    void setQuota(std::unique_ptr<QuotaClient> quota)
+    {
+        m_quota = std::move(quota);
+    }
+    /// Returns null if requests are not limited.
+    QuotaClient *quota() const
+    {
+        return m_quota.get();
+    }
     void onSaturation(SaturationHandler handler)
     {
         m_onSaturation = std::move(handler);
@@ -149,6 +160,7 @@
     DispatchContext m_dispatch;
     std::shared_ptr<Listener> m_listener;
     SaturationHandler m_onSaturation;
+    std::unique_ptr<QuotaClient> m_quota;
     std::set<CallerSession *> m_sessions;
     bool m_leaving = false;
     bool m_accepting = true;
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -46,12 +46,16 @@
     RequestLate = 703,
     RequestLeft = 704,
     RequestAnswered = 705,
+    QuotaExceeded = 720,
+    LenderUnreachable = 721,
+    LenderSubstituted = 722,
+    QuotaUnavailable = 723,
     SettingsReloaded = 104,
     ReadyChanged = 105,
     AddressBusy = 106,
 };
 
-constexpr EnumTable<Event, 39> EVENT_NAMES = {{
+constexpr EnumTable<Event, 43> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -88,6 +92,10 @@
     {Event::RequestLate, "request-late"},
     {Event::RequestLeft, "request-left"},
     {Event::RequestAnswered, "request-answered"},
+    {Event::QuotaExceeded, "quota-exceeded"},
+    {Event::LenderUnreachable, "lender-unreachable"},
+    {Event::LenderSubstituted, "lender-substituted"},
+    {Event::QuotaUnavailable, "quota-unavailable"},
     {Event::SettingsReloaded, "settings-reloaded"},
     {Event::ReadyChanged, "ready-changed"},
     {Event::AddressBusy, "address-busy"},
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -44,6 +44,7 @@
     case Event::RefusalRequested:
     case Event::PeerRejected:
     case Event::AnswerDiscarded:
+    case Event::QuotaUnavailable:
         return true;
     default:
         return false;
