--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -47,6 +47,7 @@
     case Event::AnswerDiscarded:
     case Event::OrganisationLeftOut:
     case Event::KeysLeftOut:
+    case Event::QuotaUnavailable:
         return true;
     default:
         return false;
