Carry the organisation of a request to its gate's queue

Reserve.organisation and Reserve.weight are set from CallerRequest::authenticated, and SlotReservation passes them to the queue, with the upstream's typical service time for the class as cost. Without an authenticated organisation the frame has the bytes of before. /status shows the organisations that wait, under slotShares, only while there are some. An organisation without a rate sends weight 0, for which the gate takes the mean of the others that it knows; its priority then counts by the deadline shift alone.

--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -4,6 +4,7 @@
 #include "foundation/errors.h"
 #include "foundation/events.h"
 #include "net/bodybuffer.h"
+#include "slotshares.h"
 
 #include <nlohmann/json.hpp>
 
@@ -229,6 +230,9 @@
                                        {"inner", member.inner},
                                        {"upstreams", upstreams}});
     }
+    if (const auto shares = slotSharesJson(m_gate.context().registry); !shares.empty()) {
+        document["slotShares"] = shares;
+    }
     return document.dump();
 }
 
--- a/packages/daemon/src/gate/admission.cpp
+++ b/packages/daemon/src/gate/admission.cpp
@@ -48,7 +48,8 @@
 
 Millis estimatedWait(const LocalUpstream &upstream, const UpstreamTrust &trust, const SlotPriority &priority)
 {
-    return trust.typicalServiceTime() * upstream.queue->estimatedRounds(priority.rank, priority.deadline);
+    return trust.typicalServiceTime()
+        * upstream.queue->estimatedRounds(priority.rank, priority.deadline, priority.share);
 }
 
 wire::LoadT loadOf(GateContext &gate, const LocalUpstream &upstream, const std::string &workClass)
--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -173,7 +173,7 @@
 {
     const std::string id = upstream.announced.id;
     const auto queue = upstream.queue;
-    const SlotPriority priority{INNER_CALL_RANK + 1, m_deadline};
+    const SlotPriority priority{INNER_CALL_RANK + 1, m_deadline, {}};
     switch (m_gate.slotScheduler.acquire(queue, priority, remaining(), yield)) {
     case SlotResult::Full:
         return answerNotRun(NotRunReason::Busy, "the upstream's queue is full", yield);
--- a/packages/daemon/src/gate/slotreservation.cpp
+++ b/packages/daemon/src/gate/slotreservation.cpp
@@ -89,9 +89,12 @@
     // are served while long ones wait, and no class starves. Routers set the deadline so that time is left for the
     // run.
     if (m_reserve.rank == INNER_CALL_RANK) {
-        return {INNER_CALL_RANK, m_deadline};
+        return {INNER_CALL_RANK, m_deadline, {}};
     }
-    return {INNER_CALL_RANK + 1, m_deadline + DEADLINE_SHIFT_PER_RANK * m_reserve.rank};
+    const Millis serviceTime = m_gate.trustOf(m_reserve.upstream).typicalServiceTime(m_reserve.workClass);
+    return {INNER_CALL_RANK + 1,
+            m_deadline + DEADLINE_SHIFT_PER_RANK * m_reserve.rank,
+            {m_reserve.organisation, m_reserve.weight, serviceTime.value}};
 }
 
 SlotResult SlotReservation::requestSlot(const std::shared_ptr<SlotQueue> &queue, const Yield &yield)
--- a/packages/daemon/src/gate/slotscheduler.cpp
+++ b/packages/daemon/src/gate/slotscheduler.cpp
@@ -6,7 +6,7 @@
                                   const Yield &yield)
 {
     const std::uint64_t ticket = m_nextTicket++;
-    switch (queue->request(ticket, priority.deadline, priority.rank)) {
+    switch (queue->request(ticket, priority.deadline, priority.rank, priority.share)) {
     case SlotDecision::Granted:
         return SlotResult::Taken;
     case SlotDecision::Full:
--- a/packages/daemon/src/gate/slotscheduler.h
+++ b/packages/daemon/src/gate/slotscheduler.h
@@ -13,6 +13,7 @@
 struct SlotPriority {
     int rank = INNER_CALL_RANK; ///< lower ranks go first
     Millis deadline;
+    FairShare share; ///< disregarded for inner calls
 };
 
 enum class SlotResult : std::uint8_t { Taken, Full, Expired };
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -5,6 +5,7 @@
 #include "httprules.h"
 #include "regionbytecounter.h"
 #include "silencewatch.h"
+#include "slotshare.h"
 
 #include "decision/slotqueue.h"
 #include "decision/slowrun.h"
@@ -633,6 +634,7 @@
                                                              : INNER_CALL_RANK + 1 + m_request.workClass.priority);
     reserve.deadlineMs = std::max(0.0, maxSlotWait().value);
     reserve.fingerprint = m_request.fingerprint;
+    setSlotShare(m_request.inner ? nullptr : m_request.authenticated.get(), reserve);
     const Millis now = m_shared.clock.now();
     const PeerBaseline peerBaseline = m_shared.table.peerBaseline(m_request.service, ref.id, m_request.workClass, now);
     reserve.badAboveMs = peerBaseline.slowThreshold.value;
