Spread an organisation's requests over upstreams; forget attempts whose callers left

Queues of different hosts are not coupled, so a router now adds its own running requests of an organisation to an upstream's load when it places the organisation's next one. It does not change whether an upstream counts as full. An attempt whose caller had left was never reported as finished: the router counted it as running for ever, so the upstream looked full, and both detectors kept an entry for it. RoutingTable::onAbandoned now ends it without a judgement.

--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -138,6 +138,7 @@
     constraints.allowOtherRegions =
         m_remoteGatesAsked < (constraints.mayWait ? MAX_REMOTE_GATES + 1 : MAX_REMOTE_GATES);
     constraints.largeBody = m_request.source || m_request.body.size() >= LARGE_BODY_BYTES;
+    constraints.organisation = shareName(m_request.authenticated.get());
     const UpstreamRef *chosen = m_shared.table.place(m_request.service, m_request.workClass, m_tried, constraints, now);
     m_remoteGatesAsked += chosen && chosen->distance == Distance::OtherRegion ? 1 : 0;
     return chosen;
@@ -440,6 +441,7 @@
     run.start.upstream = ref.id;
     run.start.workClass = m_request.workClass.name;
     run.start.latencyTarget = m_request.workClass.latencyTarget;
+    run.start.organisation = shareName(m_request.authenticated.get());
     run.startedAt = m_shared.clock.now();
     const bool hasUpstream = !ref.id.empty();
     if (hasUpstream) {
@@ -500,7 +502,9 @@
         attempt.slow = true;
         return attempt;
     }
-    if (!run.ref.id.empty() && !m_callerLeft) {
+    if (!run.ref.id.empty() && m_callerLeft) {
+        m_shared.table.onAbandoned(m_request.service, run.start);
+    } else if (!run.ref.id.empty()) {
         reportAttempt(run.ref, run.start, run.attempt, run.startedAt);
     }
     return std::move(run.attempt);
--- a/packages/daemon/src/router/routingtable.cpp
+++ b/packages/daemon/src/router/routingtable.cpp
@@ -137,7 +137,7 @@
     std::vector<PlacementCandidate> candidates;
     candidates.reserve(found->second.size());
     for (const UpstreamRef &ref : found->second) {
-        candidates.push_back(placementCandidateFor(state, ref, workClass, now));
+        candidates.push_back(placementCandidateFor(state, ref, workClass, constraints.organisation, now));
         candidates.back().excluded = excluded.count(ref.id) > 0;
     }
     const auto chosen = placeRequest(candidates, constraints, m_random);
@@ -145,7 +145,8 @@
 }
 
 PlacementCandidate RoutingTable::placementCandidateFor(ServiceState &state, const UpstreamRef &ref,
-                                                       const WorkClass &workClass, Millis now)
+                                                       const WorkClass &workClass, const std::string &organisation,
+                                                       Millis now)
 {
     const UpstreamState &upstream = state.upstreams[ref.id];
     PlacementCandidate candidate;
@@ -154,6 +155,8 @@
     const bool recent = now - upstream.reportedAt < REPORT_LIFETIME;
     const double estimated = upstream.reportedRequests + upstream.running - upstream.runningAtReport;
     candidate.load = recent ? std::max(upstream.running, estimated) : upstream.running;
+    const auto ofOrganisation = upstream.runningByOrganisation.find(organisation);
+    candidate.organisationLoad = ofOrganisation == upstream.runningByOrganisation.end() ? 0 : ofOrganisation->second;
     const auto reportedTime = upstream.reportedServiceTimes.find(workClass.name);
     if (reportedTime != upstream.reportedServiceTimes.end() && now - reportedTime->second.at < SERVICE_TIME_LIFETIME) {
         candidate.serviceTime = reportedTime->second.value;
@@ -184,7 +187,27 @@
 {
     ServiceState &state = stateOf(service);
     state.detector->onStart(start, now);
-    state.upstreams[start.upstream].running += 1;
+    UpstreamState &upstream = state.upstreams[start.upstream];
+    upstream.running += 1;
+    if (!start.organisation.empty()) {
+        upstream.runningByOrganisation[start.organisation] += 1;
+    }
+}
+
+void RoutingTable::countEnd(UpstreamState &upstream, const AttemptStart &start)
+{
+    upstream.running = std::max(0.0, upstream.running - 1);
+    const auto ofOrganisation = upstream.runningByOrganisation.find(start.organisation);
+    if (ofOrganisation != upstream.runningByOrganisation.end() && --ofOrganisation->second <= 0) {
+        upstream.runningByOrganisation.erase(ofOrganisation);
+    }
+}
+
+void RoutingTable::onAbandoned(const std::string &service, const AttemptStart &start)
+{
+    ServiceState &state = stateOf(service);
+    state.detector->onAbandoned(start.attempt);
+    countEnd(state.upstreams[start.upstream], start);
 }
 
 void RoutingTable::onFinish(const std::string &service, const AttemptStart &start, AttemptResult result,
@@ -193,7 +216,7 @@
     ServiceState &state = stateOf(service);
     state.detector->onFinish(start.attempt, result, serviceTime, now);
     UpstreamState &upstream = state.upstreams[start.upstream];
-    upstream.running = std::max(0.0, upstream.running - 1);
+    countEnd(upstream, start);
     if (result != AttemptResult::Answered) {
         return;
     }
--- a/packages/daemon/src/router/routingtable.h
+++ b/packages/daemon/src/router/routingtable.h
@@ -68,6 +68,8 @@
     /// @param networkTime time of the attempt outside service and queue
     void onFinish(const std::string &service, const AttemptStart &start, AttemptResult result, Millis serviceTime,
                   Millis networkTime, Millis now);
+    /// Forgets an attempt that was given up as its caller has left.
+    void onAbandoned(const std::string &service, const AttemptStart &start);
     void onLoad(const std::string &service, const std::string &upstream, const std::string &workClass,
                 const ReportedLoad &load);
 
@@ -93,6 +95,7 @@
 private:
     struct UpstreamState {
         double running = 0; ///< attempts of this router
+        std::map<std::string, double> runningByOrganisation; ///< only those of authenticated organisations
         double reportedRequests = 0;
         double runningAtReport = 0;
         Millis reportedAt{-1e12};
@@ -108,10 +111,11 @@
     };
 
     ServiceState &stateOf(const std::string &service);
+    static void countEnd(UpstreamState &upstream, const AttemptStart &start);
     void updateService(const std::string &name, const std::vector<UpstreamRef> &upstreams);
     Candidate candidateFor(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass, Millis now);
     PlacementCandidate placementCandidateFor(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass,
-                                             Millis now);
+                                             const std::string &organisation, Millis now);
     void logChange(const std::string &service, const HealthChange &change) const;
 
     Detection m_detection;
--- a/packages/daemon/src/router/slotshare.cpp
+++ b/packages/daemon/src/router/slotshare.cpp
@@ -20,7 +20,7 @@
 void setSlotShare(const Organisation *organisation, wire::ReserveT &reserve)
 {
     if (organisation) {
-        reserve.organisation = organisation->name;
+        reserve.organisation = shareName(organisation);
         reserve.weight = slotWeight(*organisation);
     }
 }
--- a/packages/daemon/test/routingtable_test.cpp
+++ b/packages/daemon/test/routingtable_test.cpp
@@ -82,6 +82,40 @@
     EXPECT_EQ(placed("long"), "far");
 }
 
+/// Guards against an organisation whose requests all wait at one gate, where they share its slots with each other,
+/// while another gate would serve them.
+TEST_F(RoutingTableTest, SpreadsTheRequestsOfOneOrganisation)
+{
+    auto view = std::make_shared<FleetView>();
+    view->upstreams[SERVICE] = {upstream("one", Distance::SameDataCentre), upstream("two", Distance::SameDataCentre)};
+    m_table.update(view);
+    const std::vector<AttemptStart> starts = {
+        {1, "one", "c", {}, "hot"}, {2, "one", "c", {}, "hot"}, {3, "two", "c", {}, "x"}, {4, "two", "c", {}, "y"}};
+    for (const AttemptStart &start : starts) {
+        m_table.onStart(SERVICE, start, NOW);
+    }
+    PlacementConstraints constraints;
+    constraints.organisation = "hot";
+    int atOther = 0;
+    for (int i = 0; i < 50; ++i) {
+        atOther += m_table.place(SERVICE, workClass("c"), {}, constraints, NOW)->id == "two" ? 1 : 0;
+    }
+    EXPECT_GT(atOther, 40);
+}
+
+/// Guards against upstreams that look full for ever, and against memory that grows, after callers have left.
+TEST_F(RoutingTableTest, ForgetsAttemptsWhoseCallersLeft)
+{
+    for (std::uint64_t attempt = 1; attempt <= 5; ++attempt) {
+        m_table.onStart(SERVICE, {attempt, "near", "c", {}, "hot"}, NOW);
+    }
+    EXPECT_EQ(placed("c"), "far") << "the nearer upstream has 5 slots";
+    for (std::uint64_t attempt = 1; attempt <= 5; ++attempt) {
+        m_table.onAbandoned(SERVICE, {attempt, "near", "c", {}, "hot"});
+    }
+    EXPECT_EQ(placed("c"), "near");
+}
+
 } // namespace
 
 } // namespace mustardpond
--- a/packages/decision/include/decision/detector.h
+++ b/packages/decision/include/decision/detector.h
@@ -51,6 +51,7 @@
     std::string upstream;
     std::string workClass;
     Millis latencyTarget;
+    std::string organisation = {}; ///< on whose behalf; empty if not authenticated
 };
 
 /// The normal behaviour of one upstream's peers for a class of work, as measured by a router.
@@ -74,6 +75,8 @@
     virtual void onStart(const AttemptStart &start, Millis now) = 0;
     /// @param serviceTime time the upstream itself took, without queueing and network
     virtual void onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now) = 0;
+    /// Forgets an attempt that was given up as its caller has left, which says nothing about the upstream or the path.
+    virtual void onAbandoned(std::uint64_t /*attempt*/) { }
     /// Called when an upstream's gate, which sees the requests of all routers, suspects its upstream.
     virtual void onGateSuspicion(const std::string & /*upstream*/, const std::string & /*workClass*/, Millis /*now*/) {
     }
--- a/packages/decision/include/decision/pathdetector.h
+++ b/packages/decision/include/decision/pathdetector.h
@@ -17,6 +17,10 @@
     void setFloor(double floor) override;
     void onStart(const AttemptStart &start, Millis now) override;
     void onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now) override;
+    void onAbandoned(std::uint64_t attempt) override
+    {
+        m_running.erase(attempt);
+    }
     void onGateSuspicion(const std::string &upstream, const std::string &workClass, Millis now) override;
     std::vector<HealthChange> tick(Millis now) override;
     double weight(const std::string &upstream, const std::string &workClass, Millis now) const override;
--- a/packages/decision/include/decision/sequentialdetector.h
+++ b/packages/decision/include/decision/sequentialdetector.h
@@ -36,6 +36,10 @@
     }
     void onStart(const AttemptStart &start, Millis now) override;
     void onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now) override;
+    void onAbandoned(std::uint64_t attempt) override
+    {
+        m_running.erase(attempt);
+    }
     void onGateSuspicion(const std::string &upstream, const std::string &workClass, Millis now) override;
     PeerBaseline peerBaseline(const std::string &upstream, const std::string &workClass, Millis latencyTarget,
                               Millis now) const override;
--- a/packages/decision/src/placement.cpp
+++ b/packages/decision/src/placement.cpp
@@ -50,8 +50,9 @@
     const Millis classServiceTime = constraints.serviceTime > Millis() ? constraints.serviceTime : DEFAULT_SERVICE_TIME;
     const Millis expectedServiceTime = candidate.serviceTime > Millis() ? candidate.serviceTime : classServiceTime;
     const double slots = std::max(1.0, candidate.slots);
-    const double queued = std::max(0.0, candidate.load + 1 - slots);
-    const double slowdown = FULL_LOAD_SLOWDOWN * std::min(1.0, candidate.load / slots);
+    const double load = candidate.load + candidate.organisationLoad;
+    const double queued = std::max(0.0, load + 1 - slots);
+    const double slowdown = FULL_LOAD_SLOWDOWN * std::min(1.0, load / slots);
     return expectedServiceTime * (1 + slowdown + queued / slots);
 }
 
