--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -5,6 +5,7 @@
 #include "foundation/events.h"
 #include "net/bodybuffer.h"
 #include "quotareport.h"
+#include "slotshares.h"
 
 #include <nlohmann/json.hpp>
 
@@ -243,6 +244,9 @@
     if (const auto quotas = m_router.quota() ? quotaStatus(*m_router.quota()) : nullptr; !quotas.empty()) {
         document["quotas"] = quotas;
     }
+    if (const auto shares = slotSharesJson(m_gate.context().registry); !shares.empty()) {
+        document["slotShares"] = shares;
+    }
     return document.dump();
 }
 
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -5,6 +5,7 @@
 #include "httprules.h"
 #include "regionbytecounter.h"
 #include "silencewatch.h"
+#include "slotshare.h"
 
 #include "decision/slotqueue.h"
 #include "decision/slowrun.h"
@@ -138,6 +139,7 @@
         m_remoteGatesAsked < (constraints.mayWait ? MAX_REMOTE_GATES + 1 : MAX_REMOTE_GATES);
     const double answerBytes = m_shared.table.classAnswerBytes(m_request.service, m_request.workClass.name);
     constraints.largeBody = m_request.source || m_request.body.size() + answerBytes >= LARGE_BODY_BYTES;
+    constraints.organisation = shareName(m_request.authenticated.get());
     const UpstreamRef *chosen = m_shared.table.place(m_request.service, m_request.workClass, m_tried, constraints, now);
     m_remoteGatesAsked += chosen && chosen->distance == Distance::OtherRegion ? 1 : 0;
     return chosen;
@@ -440,6 +442,7 @@
     run.start.upstream = ref.id;
     run.start.workClass = m_request.workClass.name;
     run.start.latencyTarget = m_request.workClass.latencyTarget;
+    run.start.organisation = shareName(m_request.authenticated.get());
     run.startedAt = m_shared.clock.now();
     const bool hasUpstream = !ref.id.empty();
     if (hasUpstream) {
@@ -500,7 +503,9 @@
         attempt.slow = true;
         return attempt;
     }
-    if (!run.ref.id.empty() && !m_callerLeft) {
+    if (!run.ref.id.empty() && m_callerLeft) {
+        m_shared.table.onAbandoned(m_request.service, run.start);
+    } else if (!run.ref.id.empty()) {
         reportAttempt(run.ref, run.start, run.attempt, run.startedAt);
     }
     return std::move(run.attempt);
@@ -634,6 +639,7 @@
                                                              : INNER_CALL_RANK + 1 + m_request.workClass.priority);
     reserve.deadlineMs = std::max(0.0, maxSlotWait().value);
     reserve.fingerprint = m_request.fingerprint;
+    setSlotShare(m_request.inner ? nullptr : m_request.authenticated.get(), reserve);
     const Millis now = m_shared.clock.now();
     const PeerBaseline peerBaseline = m_shared.table.peerBaseline(m_request.service, ref.id, m_request.workClass, now);
     reserve.badAboveMs = peerBaseline.slowThreshold.value;
