Check a key again before dispatch, by the newest configuration and its proof

A request whose body arrives slowly may outlast the proof under which its key was accepted, or the key itself. The key is looked up in the current view and the proof checked without waiting in between. The lender of quotas gets its limits from the configuration in force and lends only with a valid proof.

--- a/packages/daemon/src/control/bundleinforce.cpp
+++ b/packages/daemon/src/control/bundleinforce.cpp
@@ -18,8 +18,7 @@
 
 bool hasOrganisations(const ConfigSnapshot &config)
 {
-    // Until a snapshot has a table of organisations, any bundle counts as having some.
-    return bundleVersion(config) > 0;
+    return config.organisations() != nullptr;
 }
 
 } // namespace mustardpond
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -72,6 +72,11 @@
     auto router = std::make_shared<Router>(m_context, m_clock, m_random, m_settings, dialects.caller);
     auto control = std::make_shared<ControlPlane>(m_context, m_settings, m_incarnation, dialects.openStore);
     auto quotaLender = std::make_shared<QuotaLender>(m_context, m_clock, m_settings);
+    quotaLender->setOrganisations([router = router.get()](const std::string &name) {
+        const auto config = router->view().config;
+        return config && config->organisations() ? config->organisations()->findByName(name) : nullptr;
+    });
+    quotaLender->setProofCheck([router = router.get()] { return router->acceptsKeys(); });
     gate->setQuotaLender(quotaLender);
     router->setQuota(std::make_unique<QuotaClient>(m_context, m_clock, m_random, m_settings, *quotaLender));
     auto local = std::make_shared<LocalEndpoint>(m_context, m_clock, m_settings, *router, *gate, dialects.announcement);
--- a/packages/daemon/src/router/callerauthentication.cpp
+++ b/packages/daemon/src/router/callerauthentication.cpp
@@ -42,6 +42,7 @@
     if (!config.organisations()) {
         return KeyProblem::None;
     }
+    request.keyRequired = !route.keyExempt && !request.inner;
     KeyCheck check;
     if (!request.inner) {
         check = checkKey(*config.organisations(), head);
@@ -54,7 +55,13 @@
     if (check.organisation && check.organisation->priority) {
         request.workClass.priority = *check.organisation->priority;
     }
-    return route.keyExempt ? KeyProblem::None : check.problem;
+    return request.keyRequired ? check.problem : KeyProblem::None;
+}
+
+KeyProblem checkKeyAgain(const ConfigSnapshot &config, const http::fields &head, const CallerRequest &request)
+{
+    const bool required = request.keyRequired && config.organisations();
+    return required ? checkKey(*config.organisations(), head).problem : KeyProblem::None;
 }
 
 void replaceKeyFields(const ConfigSnapshot &config, const std::string &organisationField, CallerRequest &request)
--- a/packages/daemon/src/router/callerauthentication.h
+++ b/packages/daemon/src/router/callerauthentication.h
@@ -25,6 +25,9 @@
 KeyProblem authenticate(const ConfigSnapshot &config, const RouteObject &route, const http::fields &head,
                         CallerRequest &request);
 
+/// Checks the key again, in a configuration that may be newer than that of authenticate().
+KeyProblem checkKeyAgain(const ConfigSnapshot &config, const http::fields &head, const CallerRequest &request);
+
 /// Where the configuration has organisations, removes the caller's key and its own value of the field for the
 /// organisation, and adds that field if the request has been authenticated.
 void replaceKeyFields(const ConfigSnapshot &config, const std::string &organisationField, CallerRequest &request);
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -250,6 +250,9 @@
         return;
     }
     m_stream.expires_never();
+    if (refuseWithdrawn(request, yield)) {
+        return;
+    }
     if (auto refused = refuseByQuota(m_router.quota(), request, yield)) {
         return reply(request, std::move(*refused), startedAt, yield);
     }
@@ -311,10 +314,26 @@
 {
     const auto config = m_router.view().config;
     const KeyProblem problem = authenticate(*config, route, m_parser->get(), request);
+    request.service = route.parts.front().service;
+    return refuseByKey(request, problem, yield);
+}
+
+bool CallerSession::refuseWithdrawn(const CallerRequest &request, const Yield &yield)
+{
+    return refuseByKey(request, checkKeyAgain(*m_router.view().config, m_parser->get(), request), yield);
+}
+
+bool CallerSession::refuseByKey(const CallerRequest &request, KeyProblem problem, const Yield &yield)
+{
+    if (request.keyRequired && !m_router.acceptsKeys()) {
+        m_keepOpen = m_keepOpen && m_parser->is_done();
+        replyRouterAnswer(http::status::service_unavailable, m_router.keyAdmission().refuse(), yield);
+        return true;
+    }
     if (problem == KeyProblem::None) {
         return false;
     }
-    m_router.refusedKeys().add(problem, route.parts.front().service, m_router.clock().now());
+    m_router.refusedKeys().add(problem, request.service, m_router.clock().now());
     replyProblem(http::status::unauthorized, describe(problem), yield);
     return true;
 }
--- a/packages/daemon/src/router/callersession.h
+++ b/packages/daemon/src/router/callersession.h
@@ -1,6 +1,7 @@
 /// One caller's connection to the router.
 #pragma once
 
+#include "callerauthentication.h"
 #include "callerbody.h"
 #include "callerdialect.h"
 #include "config/objects.h"
@@ -45,8 +46,12 @@
     void openOperation(const Yield &yield);
     void proxy(const Yield &yield);
     bool classify(CallerRequest &request, const Yield &yield);
-    /// Answers 401 if the request lacks a key that its route needs. Returns whether it did.
+    /// Answers 401 if the request lacks a key that its route needs, or 503 if the key may have been withdrawn without
+    /// this router's knowledge. Returns whether it did.
     bool refuseUnauthenticated(CallerRequest &request, const RouteObject &route, const Yield &yield);
+    /// Does the same for a key that has been checked before, since a body may take long to arrive.
+    bool refuseWithdrawn(const CallerRequest &request, const Yield &yield);
+    bool refuseByKey(const CallerRequest &request, KeyProblem problem, const Yield &yield);
     bool refuse(const CallerRequest &request, const Yield &yield);
     bool readBody(CallerRequest &request, const Yield &yield);
     void copyHeaders(CallerRequest &request) const;
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -26,6 +26,7 @@
     WorkClass workClass;
     std::string organisation;
     std::shared_ptr<const Organisation> authenticated; ///< by its key; null without one
+    bool keyRequired = false; ///< whether it is served only with a valid key
     std::string operation; ///< empty when the caller has opened none
     std::string id; ///< request id set by the caller; empty when there is none
     bool inner = false; ///< a call of an upstream on behalf of a request that it is running
