--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -24,7 +24,6 @@
 constexpr std::size_t REMOTE_RUMOUR_ONE_IN = 12;
 /// One digest in four goes to a seed or a dead member; of the rest, one in four goes to another data centre.
 constexpr std::size_t REMOTE_DIGEST_ONE_IN = 4;
-constexpr unsigned PROOF_PEER_KINDS = 3;
 
 std::string keyOf(const Incarnation &incarnation)
 {
@@ -87,14 +86,6 @@
     return true;
 }
 
-void Membership::useProofs(Millis maxAge)
-{
-    m_proofs.emplace(maxAge, m_random.uniform());
-    // An answer to an earlier process at this address must not be taken for an answer to this one: it would date the
-    // proof too late. So the numbers of pings do not start at the same value again.
-    m_nextProbeNumber = m_random.next();
-}
-
 std::vector<OutgoingGossip> Membership::tick(Millis now)
 {
     std::vector<OutgoingGossip> out;
@@ -319,52 +310,6 @@
     }
 }
 
-void Membership::askForProof(Millis now, std::vector<OutgoingGossip> &out)
-{
-    const auto kind = m_proofs ? m_proofs->takeQuestion(now) : std::nullopt;
-    const std::string key = kind ? proofTarget(*kind) : std::string();
-    if (key.empty()) {
-        return;
-    }
-    const std::uint64_t number = m_nextProbeNumber++;
-    const Member &target = m_members[key].member;
-    wire::GossipT message = newPing(number, key);
-    if (target.dataCentre != m_self.dataCentre && !m_proofs->freshness().isMissingVersion()) {
-        message.newestObject = 0; // objects come from the data centre, not over paid links
-    }
-    m_proofs->onAsked(number, key, now);
-    out.push_back({target.inner, std::move(message)});
-}
-
-std::string Membership::proofTarget(ProofPeer kind)
-{
-    for (unsigned step = 0; step < PROOF_PEER_KINDS; ++step) {
-        const auto next = static_cast<ProofPeer>((static_cast<unsigned>(kind) + step) % PROOF_PEER_KINDS);
-        const auto pool = proofPeers(next);
-        if (pool.empty()) {
-            continue;
-        }
-        const bool inTurn = next == ProofPeer::Watcher; // one of two may not answer
-        return pool[inTurn ? m_proofs->nextTurn() % pool.size() : m_random.below(pool.size())];
-    }
-    return {};
-}
-
-std::vector<std::string> Membership::proofPeers(ProofPeer kind) const
-{
-    if (kind != ProofPeer::Watcher) {
-        return peers(kind == ProofPeer::SameDataCentre);
-    }
-    std::vector<std::string> keys;
-    for (const std::string &key : m_proofs->watchers()) {
-        const auto found = m_members.find(key);
-        if (found != m_members.end() && key != keyOf(m_self.incarnation) && acceptsRequests(found->second.member)) {
-            keys.push_back(key);
-        }
-    }
-    return keys;
-}
-
 void Membership::answerPing(const wire::GossipT &message, Millis now, std::vector<OutgoingGossip> &out)
 {
     const wire::PingT &ping = *message.ping;
--- a/packages/net/src/httpstore.cpp
+++ b/packages/net/src/httpstore.cpp
@@ -27,6 +27,12 @@
     return object;
 }
 
+std::string textIn(const nlohmann::json &document, const char *field)
+{
+    const bool given = document.is_object() && document.contains(field) && document[field].is_string();
+    return given ? document[field].get<std::string>() : std::string();
+}
+
 Listing listingFrom(const std::string &text)
 {
     const auto document = parseJsonLeniently(text, "the platform's list");
@@ -37,6 +43,7 @@
             listing.objects.push_back(objectFrom(entry));
         } catch (const nlohmann::json::exception &error) {
             logEvent(Event::ObjectInvalid, {{"entry", listing.objects.size()}, {"cause", error.what()}});
+            listing.unreadable.push_back({textIn(entry, "kind"), textIn(entry, "name"), 0, false, ""});
         }
     }
     return listing;
