--- a/packages/membership/test/proofexchange_test.cpp
+++ b/packages/membership/test/proofexchange_test.cpp
@@ -133,6 +133,34 @@
     EXPECT_EQ(countServing(), 12U);
 }
 
+// A late answer to an earlier process of this host has a number that must not be outstanding again: it would be dated
+// after the answer was given.
+TEST(ProofExchangeRestartTest, ARestartedMemberUsesOtherNumbersForItsPings)
+{
+    SeededRandom random(7);
+    const auto firstNumber = [&random] {
+        Member self;
+        self.incarnation = {1, 1};
+        Member peer;
+        peer.incarnation = {1, 2};
+        Membership member(self, {}, random);
+        member.useProofs(MAX_AGE);
+        member.proofs()->setNeeded(true);
+        wire::GossipT news;
+        news.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(peer)));
+        member.receive(news, Millis(1));
+        std::set<std::uint64_t> numbers;
+        for (const OutgoingGossip &out : member.tick(Millis(2000))) {
+            if (out.message.ping) {
+                numbers.insert(out.message.ping->number);
+            }
+        }
+        EXPECT_EQ(numbers.size(), 2U) << "a probe and a question";
+        return *numbers.begin();
+    };
+    EXPECT_NE(firstNumber(), firstNumber());
+}
+
 class AnswerTest : public ::testing::Test
 {
 protected:
