--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -7,6 +7,7 @@
 #include "dispatch.h"
 #include "net/listener.h"
 #include "quotaclient.h"
+#include "refusedkeys.h"
 
 #include "foundation/kernel.h"
 
@@ -128,6 +129,10 @@
     {
         return m_metrics;
     }
+    RefusedKeys &refusedKeys()
+    {
+        return m_refusedKeys;
+    }
     BurnMeter &burn()
     {
         return m_burn;
@@ -155,6 +160,7 @@
     RoutingTable m_table;
     GatePool m_pool;
     Metrics m_metrics;
+    RefusedKeys m_refusedKeys{m_metrics};
     BurnMeter m_burn;
     std::uint64_t m_lastRequestNumber = 0;
     DispatchContext m_dispatch;
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -45,6 +45,8 @@
     case Event::PeerRejected:
     case Event::AnswerDiscarded:
     case Event::QuotaUnavailable:
+    case Event::OrganisationLeftOut:
+    case Event::KeysLeftOut:
         return true;
     default:
         return false;
