Do not blame an upstream for a caller that does not read its answer

While a router did not take a streamed answer, since its caller did not read, the run of the upstream seemed to hang, and when the upstream cut the answer off, it counted as broken: requests that may run only once were turned away from it. A piece is no longer sent beyond the request's deadline, so that a caller that does not read frees the slot then, not up to 30 s later.

--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -215,12 +215,13 @@
     }
     UpstreamFailureDetector &detector = m_gate.detectorOf(m_servedBy);
     const std::uint64_t number = ++m_gate.lastRunNumber;
+    m_runNumber = number;
     detector.onStart(number, m_request.workClass, m_startedAt);
     m_gate.trustOf(m_servedBy).onStart(number, m_request.workClass, m_startedAt);
     m_gate.resendBudget.onFirstAttempt();
     try {
         exchange(upstream, number, yield);
-        detector.onFinish(number, m_result, m_gate.clock.now() - m_startedAt, m_gate.clock.now());
+        detector.onFinish(number, m_result, serviceTime(), m_gate.clock.now());
         updateTrust(number, m_result, m_broken);
         m_gate.quarantine.onCompleted(m_fingerprint, m_gate.clock.now());
         m_gate.client.release(address, *m_exchange);
@@ -234,7 +235,8 @@
         markOperationLost();
         throw;
     }
-    const bool callerMayBeAtFault = m_exchange->isCancelled() || m_request.streamed;
+    const bool readerAtFault = m_relay && m_relay->isReaderAtFault();
+    const bool callerMayBeAtFault = m_exchange->isCancelled() || m_request.streamed || readerAtFault;
     const AttemptResult result = callerMayBeAtFault ? AttemptResult::Unjudged : AttemptResult::Failed;
     detector.onFinish(number, result, Millis(), m_gate.clock.now());
     updateTrust(number, result, true);
@@ -483,7 +485,8 @@
     digest.add(body.data(), body.size());
     answer.streamed = true;
     answer.body = toBytes(body);
-    m_channel.send(packMessage(std::move(answer)), CHANNEL_TIMEOUT, yield);
+    m_relay.emplace(m_gate, RunRef{m_servedBy, m_runNumber}, m_channel);
+    m_relay->send(packMessage(std::move(answer)), std::min(CHANNEL_TIMEOUT, exchangeTimeout()), yield);
     for (bool more = true; more;) {
         body.clear();
         more = exchange.receiveBody(body, CHUNK_BYTES, exchangeTimeout(), yield);
@@ -493,7 +496,7 @@
         chunk.last = !more;
         chunk.digest = digest.value();
         chunk.body = toBytes(body);
-        m_channel.send(packMessage(std::move(chunk)), CHANNEL_TIMEOUT, yield);
+        m_relay->send(packMessage(std::move(chunk)), std::min(CHANNEL_TIMEOUT, exchangeTimeout()), yield);
     }
 }
 
@@ -564,6 +567,11 @@
     return answer;
 }
 
+Millis GateRun::serviceTime() const
+{
+    return m_gate.clock.now() - m_startedAt - (m_relay ? m_relay->waited() : Millis());
+}
+
 OperationBinding GateRun::binding() const
 {
     return {m_request.service, m_request.organisation, m_fingerprint};
--- a/packages/daemon/src/gate/gaterun.h
+++ b/packages/daemon/src/gate/gaterun.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission.h"
+#include "answerrelay.h"
 #include "decision/outcome.h"
 #include "framechannel.h"
 #include "gatecontext.h"
@@ -72,6 +73,8 @@
     Millis remaining() const;
     /// Returns the time left for the exchange with the upstream. Throws boost::system::system_error if there is none.
     Millis exchangeTimeout() const;
+    /// Returns the time that the run has taken, without the waits for a caller that reads slowly.
+    Millis serviceTime() const;
     /// Cancels the exchange if the router closes the connection.
     void cancelOnDisconnect(const std::shared_ptr<UpstreamExchange> &exchange);
 
@@ -90,6 +93,8 @@
     bool m_connectionLost = false; ///< the exchange failed with another error than a timeout
     AttemptResult m_result = AttemptResult::Unjudged;
     std::string m_servedBy;
+    std::uint64_t m_runNumber = 0;
+    std::optional<AnswerRelay> m_relay; ///< of a streamed answer
     std::optional<RunningRequestGuard> m_runningGuard; ///< while the upstream has the request
 };
 
--- a/packages/decision/include/decision/upstreamfailuredetector.h
+++ b/packages/decision/include/decision/upstreamfailuredetector.h
@@ -3,6 +3,7 @@
 
 #include "decision/cusum.h"
 #include "decision/detector.h"
+#include "decision/runclock.h"
 #include "decision/sequentialdetector.h"
 
 #include <deque>
@@ -27,6 +28,9 @@
     /// Called when a request is sent to the upstream.
     void onStart(std::uint64_t attempt, const std::string &workClass, Millis now);
     void onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now);
+    /// The time until onReaderReady(), in which the answer's reader is waited for, does not count.
+    void onReaderWait(std::uint64_t run, Millis now);
+    void onReaderReady(std::uint64_t run, Millis now);
     /// Checks running requests. To be called every few tens of milliseconds.
     void tick(Millis now);
 
@@ -47,7 +51,7 @@
     };
     struct Running {
         std::string workClass;
-        Millis startedAt;
+        RunClock clock;
         bool countedAsBad = false;
     };
 
--- a/packages/decision/include/decision/upstreamtrust.h
+++ b/packages/decision/include/decision/upstreamtrust.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "decision/detector.h"
+#include "decision/runclock.h"
 #include "foundation/clock.h"
 #include "foundation/enumtable.h"
 
@@ -32,6 +33,9 @@
     void onStart(std::uint64_t run, const std::string &workClass, Millis now);
     /// @param broken whether the connection broke or the answer was malformed, as opposed to an error answer
     void onFinish(std::uint64_t run, AttemptResult result, bool broken, Millis now);
+    /// The time until onReaderReady(), in which the answer's reader is waited for, does not count.
+    void onReaderWait(std::uint64_t run, Millis now);
+    void onReaderReady(std::uint64_t run, Millis now);
     TrustLevel level(Millis now) const;
     int consecutiveFailures() const
     {
@@ -49,7 +53,7 @@
 private:
     struct Running {
         std::string workClass;
-        Millis startedAt;
+        RunClock clock;
     };
 
     struct Answer {
--- a/packages/decision/src/upstreamfailuredetector.cpp
+++ b/packages/decision/src/upstreamfailuredetector.cpp
@@ -37,7 +37,23 @@
 
 void UpstreamFailureDetector::onStart(std::uint64_t attempt, const std::string &workClass, Millis now)
 {
-    m_running[attempt] = {workClass, now, false};
+    m_running[attempt] = {workClass, RunClock(now), false};
+}
+
+void UpstreamFailureDetector::onReaderWait(std::uint64_t run, Millis now)
+{
+    const auto found = m_running.find(run);
+    if (found != m_running.end()) {
+        found->second.clock.pause(now);
+    }
+}
+
+void UpstreamFailureDetector::onReaderReady(std::uint64_t run, Millis now)
+{
+    const auto found = m_running.find(run);
+    if (found != m_running.end()) {
+        found->second.clock.resume(now);
+    }
 }
 
 void UpstreamFailureDetector::onFinish(std::uint64_t attempt, AttemptResult result, Millis serviceTime, Millis now)
@@ -60,7 +76,7 @@
 {
     for (auto &[attempt, running] : m_running) {
         ClassState &state = m_classes[running.workClass];
-        if (!running.countedAsBad && now - running.startedAt > state.peerBaseline.slowThreshold) {
+        if (!running.countedAsBad && running.clock.elapsed(now) > state.peerBaseline.slowThreshold) {
             running.countedAsBad = true;
             addOutcome(state, true, now);
         }
--- a/packages/decision/src/upstreamtrust.cpp
+++ b/packages/decision/src/upstreamtrust.cpp
@@ -28,7 +28,23 @@
 
 void UpstreamTrust::onStart(std::uint64_t run, const std::string &workClass, Millis now)
 {
-    m_running[run] = {workClass, now};
+    m_running[run] = {workClass, RunClock(now)};
+}
+
+void UpstreamTrust::onReaderWait(std::uint64_t run, Millis now)
+{
+    const auto found = m_running.find(run);
+    if (found != m_running.end()) {
+        found->second.clock.pause(now);
+    }
+}
+
+void UpstreamTrust::onReaderReady(std::uint64_t run, Millis now)
+{
+    const auto found = m_running.find(run);
+    if (found != m_running.end()) {
+        found->second.clock.resume(now);
+    }
 }
 
 void UpstreamTrust::onFinish(std::uint64_t run, AttemptResult result, bool broken, Millis now)
@@ -56,10 +72,10 @@
 void UpstreamTrust::onSuccess(const Running &run, Millis now)
 {
     Millis &classAverage = m_classServiceTimes[run.workClass];
-    classAverage = blend(classAverage, now - run.startedAt);
-    m_overallServiceTime = blend(m_overallServiceTime, now - run.startedAt);
+    classAverage = blend(classAverage, run.clock.elapsed(now));
+    m_overallServiceTime = blend(m_overallServiceTime, run.clock.elapsed(now));
     m_lastSuccess = now;
-    if (run.startedAt <= m_lastFailure) {
+    if (run.clock.startedAt() <= m_lastFailure) {
         return;
     }
     m_consecutiveFailures = 0;
@@ -115,7 +131,7 @@
 bool UpstreamTrust::isTrialRunning() const
 {
     return std::any_of(m_running.begin(), m_running.end(),
-                       [this](const auto &entry) { return entry.second.startedAt > m_lastFailure; });
+                       [this](const auto &entry) { return entry.second.clock.startedAt() > m_lastFailure; });
 }
 
 bool UpstreamTrust::hasHangingRun(Millis now) const
@@ -124,7 +140,7 @@
         const Running &run = entry.second;
         const Millis usual = typicalServiceTime(run.workClass);
         const Millis limit = usual > Millis() ? std::max(MIN_HANG_TIME, usual * HANG_FACTOR) : DEFAULT_HANG_TIME;
-        return now - run.startedAt > limit && m_lastSuccess < run.startedAt + limit;
+        return !run.clock.isPaused() && run.clock.elapsed(now) > limit && m_lastSuccess < run.clock.startedAt() + limit;
     });
 }
 
--- a/packages/decision/test/upstreamtrust_test.cpp
+++ b/packages/decision/test/upstreamtrust_test.cpp
@@ -146,6 +146,21 @@
     EXPECT_GE(sent, 250) << "of 315 outside the failure periods";
 }
 
+/// Guards against an upstream that gets no work since the caller of a long answer does not read.
+TEST_F(UpstreamTrustTest, WaitingForASlowReaderIsNeitherHangingNorServiceTime)
+{
+    run(AttemptResult::Answered);
+    m_trust.onStart(99, "lookup", m_now);
+    m_trust.onReaderWait(99, m_now + Millis(100));
+    EXPECT_EQ(levelAfter(Millis(5000)), TrustLevel::Trusted);
+    m_trust.onReaderReady(99, m_now);
+    EXPECT_EQ(levelAfter(Millis(200)), TrustLevel::Trusted);
+    m_trust.onFinish(99, AttemptResult::Answered, false, m_now);
+    EXPECT_NEAR(m_trust.typicalServiceTime().value, USUAL_RUN_TIME.value, 1);
+    m_trust.onStart(100, "lookup", m_now);
+    EXPECT_EQ(levelAfter(Millis(5000)), TrustLevel::Doubtful) << "a run that waits for no reader hangs";
+}
+
 } // namespace
 
 } // namespace mustardpond
