Bound what callers take in memory, slots and descriptors

Cause: each body's first 1 MB was kept without a bound on the sum; read buffers, buffered responses and frames of idle channels stayed; streamed bodies that never end held all slots; idle callers held all connections.

Buffers above 4 KB, bodies and responses count against one byte budget before they are read; a request waits up to 1 s for room, then the caller that is stalled most is told 408, or the new one 503 with Retry-After. - A streamed body needs a place among half of the upstream's slots at the gate (StreamedSlots, in the order of arrival) until it has arrived. One that comes too slowly loses its slot (502). Waiting for its caller no longer counts as a hanging run of the upstream. - The connection that has been idle longest, or has stopped in the middle of a request for 1 s, is closed in favour of a new one. Callers get at most three quarters of the descriptors, idle channels to gates an eighth of callerConnections. - Callers' sockets get a send buffer of 64 KB: the kernel buffered MBs for a caller that does not read, and the router went on with its next requests. - Freed blocks of 128 KB and more go back to the system; frame channels keep 16 KB; a started body is sent in pieces. - Settings limits.memoryMb, bodyBudgetBytes, bodyMinBytesPerSecond, bodyStallMs; events 620 to 623; mustardpond_limits_total by cause.

--- a/packages/config/include/config/daemonsettings.h
+++ b/packages/config/include/config/daemonsettings.h
@@ -32,6 +32,15 @@
     Millis operationLifetime{600000};
     Millis callerIdleTimeout{30000};
     Millis shutdownTimeout{30000}; ///< for requests in flight when the daemon is stopped
+    std::size_t memoryMb = 256; ///< of the host
+    std::size_t bodyBudgetBytes = 0; ///< for bodies, their buffers and responses; 0 for a quarter of the memory
+    double bodyMinBytesPerSecond = 1024; ///< of a streamed body, while the caller is waited for
+    Millis bodyStallTime{10000}; ///< over which a streamed body must keep to that
+
+    std::size_t bodyBudget() const
+    {
+        return bodyBudgetBytes > 0 ? bodyBudgetBytes : memoryMb * MIB / 4;
+    }
 };
 
 /// Which protocol is used with callers, upstreams and the platform: this project's own or the platform's.
--- a/packages/config/src/daemonsettings.cpp
+++ b/packages/config/src/daemonsettings.cpp
@@ -13,6 +13,9 @@
 constexpr NumberRange HEAD_RANGE_BYTES{1024, 1048576};
 constexpr NumberRange LIFETIME_RANGE_MS{1000, 86400000};
 constexpr NumberRange DURATION_RANGE_MS{100, 3600000};
+constexpr NumberRange MEMORY_RANGE_MB{16, 1048576};
+constexpr NumberRange BUDGET_RANGE_BYTES{0, 1e12}; ///< 0 derives it from the memory
+constexpr NumberRange RATE_RANGE{0, 1e9};
 constexpr NumberRange DETECTION_COST_RANGE{0.001, 1000};
 constexpr NumberRange RETRY_SHARE_RANGE{0, 10};
 constexpr NumberRange RETRY_EXTRA_RANGE{0, 1000000};
@@ -84,6 +87,10 @@
     limits.operationLifetime = time("operationLifetimeMs", LIFETIME_RANGE_MS, limits.operationLifetime);
     limits.callerIdleTimeout = time("callerIdleMs", DURATION_RANGE_MS, limits.callerIdleTimeout);
     limits.shutdownTimeout = time("stopGraceMs", DURATION_RANGE_MS, limits.shutdownTimeout);
+    limits.memoryMb = count("memoryMb", MEMORY_RANGE_MB, limits.memoryMb);
+    limits.bodyBudgetBytes = count("bodyBudgetBytes", BUDGET_RANGE_BYTES, limits.bodyBudgetBytes);
+    limits.bodyMinBytesPerSecond = reader.number("bodyMinBytesPerSecond", RATE_RANGE, limits.bodyMinBytesPerSecond);
+    limits.bodyStallTime = time("bodyStallMs", DURATION_RANGE_MS, limits.bodyStallTime);
     reader.rejectUnknownFields();
     return limits;
 }
--- a/packages/daemon/main/main.cpp
+++ b/packages/daemon/main/main.cpp
@@ -11,6 +11,8 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include <malloc.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -19,6 +21,9 @@
 
 constexpr int EXIT_INVALID_SETTINGS = 2;
 constexpr int EXIT_FAILED = 1;
+/// Blocks of this size and above are returned to the system when they are freed. Unless it is set, the C library raises
+/// the threshold to the size of the largest block that was freed, and memory of bodies stays with the process.
+constexpr int LARGE_BLOCK_BYTES = 128 * 1024;
 
 int checkSettings(const std::string &path)
 {
@@ -68,6 +73,7 @@
 {
     std::signal(SIGHUP, SIG_IGN); // the settings may change before the daemon handles the signal
     std::signal(SIGPIPE, SIG_IGN); // the reader of standard output may end
+    mallopt(M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES);
     CLI::App app("mustardpond: router and gate for the backend servers of one host");
     std::string settings;
     std::string checked;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -72,6 +72,7 @@
     auto router = std::make_shared<Router>(m_context, m_clock, m_random, m_settings, dialects.caller);
     auto control = std::make_shared<ControlPlane>(m_context, m_settings, m_incarnation, dialects.openStore);
     auto local = std::make_shared<LocalEndpoint>(m_context, m_clock, m_settings, *router, *gate, dialects.announcement);
+    gate->context().byteBudget = &router->bodyBudget().bytes();
     control->onView([router = router.get(), gate = gate.get()](std::shared_ptr<const FleetView> view) {
         restoreFromPeers(*view, gate->context().registry);
         router->update(std::move(view));
--- a/packages/daemon/src/framechannel.cpp
+++ b/packages/daemon/src/framechannel.cpp
@@ -1,11 +1,18 @@
 #include "framechannel.h"
 
+#include "foundation/bytes.h"
 #include "foundation/errors.h"
 
 #include <fmt/format.h>
 
 namespace mustardpond {
 
+namespace {
+
+constexpr std::size_t RETAINED_BYTES = 16 * KIB;
+
+} // namespace
+
 FrameChannel::FrameChannel(tcp::socket socket)
     : m_stream(std::move(socket))
 {
@@ -31,7 +38,11 @@
     m_bytes += header.size() + m_body.size();
     m_stream.expires_never();
     m_reused = true;
-    return parseFrame(m_body);
+    wire::FrameT frame = parseFrame(m_body);
+    if (m_body.capacity() > RETAINED_BYTES) {
+        m_body = {}; // most channels are idle, and some have carried a large frame
+    }
+    return frame;
 }
 
 void FrameChannel::close()
--- a/packages/daemon/src/gate/gate.cpp
+++ b/packages/daemon/src/gate/gate.cpp
@@ -101,6 +101,7 @@
         rejectFrame(frame);
     }
     GateRun run(m_gate, std::move(*request), channel);
+    run.setStreamedPlace(reservation.takeStreamedPlace());
     run.runReserved(reservation.grantedAt(), yield);
 }
 
--- a/packages/daemon/src/gate/gatecontext.h
+++ b/packages/daemon/src/gate/gatecontext.h
@@ -1,6 +1,7 @@
 /// State shared by all requests at one gate.
 #pragma once
 
+#include "decision/bytebudget.h"
 #include "decision/ledger.h"
 #include "decision/quarantine.h"
 #include "decision/retrybudget.h"
@@ -10,6 +11,7 @@
 #include "operationwaits.h"
 #include "runningrequests.h"
 #include "slotscheduler.h"
+#include "streamedslots.h"
 #include "upstreamclient.h"
 #include "upstreamregistry.h"
 
@@ -30,6 +32,7 @@
         , client(io)
         , ledger(incarnation, {settings.limits.operations, settings.limits.operationLifetime})
         , slotScheduler(io)
+        , streamedSlots(io)
         , operationWaits(io)
         , profile(profileForCost(settings.lateDetectionCost))
         , statistical(settings.detection == Detection::Statistical)
@@ -54,6 +57,8 @@
     UpstreamClient client;
     Ledger ledger;
     SlotScheduler slotScheduler;
+    StreamedSlots streamedSlots;
+    ByteBudget *byteBudget = nullptr; ///< of the process; null without a router
     OperationWaits operationWaits;
     Quarantine quarantine;
     DetectionProfile profile;
--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -69,9 +69,11 @@
     : m_gate(gate)
     , m_request(std::move(request))
     , m_channel(channel)
+    , m_bytes(gate.byteBudget)
     , m_fingerprint(requestFingerprint(m_request.method, m_request.target, m_request.body))
     , m_arrivedAt(gate.clock.now())
 {
+    m_bytes.add(m_request.body.size());
     m_deadline = m_arrivedAt + Millis(m_request.deadlineMs);
     if (!m_request.operation.empty()) {
         m_operation = parseOperationId(m_request.operation);
@@ -215,8 +217,11 @@
     }
     UpstreamFailureDetector &detector = m_gate.detectorOf(m_servedBy);
     const std::uint64_t number = ++m_gate.lastRunNumber;
+    m_runNumber = number;
     detector.onStart(number, m_request.workClass, m_startedAt);
-    m_gate.trustOf(m_servedBy).onStart(number, m_request.workClass, m_startedAt);
+    if (!m_request.streamed) {
+        m_gate.trustOf(m_servedBy).onStart(number, m_request.workClass, m_startedAt);
+    }
     m_gate.resendBudget.onFirstAttempt();
     try {
         exchange(upstream, number, yield);
@@ -397,6 +402,9 @@
         }
         exchange.sendBody(std::string(toText(chunk.body)), last, exchangeTimeout(), yield);
     }
+    m_streamedPlace.reset();
+    // Until now the upstream waited for the caller, which must not look like a run that hangs.
+    m_gate.trustOf(m_servedBy).onStart(m_runNumber, m_request.workClass, m_gate.clock.now());
 }
 
 void GateRun::receiveAnswer(UpstreamExchange &exchange, const Yield &yield)
@@ -412,6 +420,7 @@
     while (more && body.size() < SMALL_ANSWER_BYTES) {
         more = exchange.receiveBody(body, CHUNK_BYTES, exchangeTimeout(), yield);
     }
+    m_bytes.add(body.size());
     wire::AnswerT answer = newAnswer(Outcome::Ran);
     answer.status = static_cast<std::uint16_t>(exchange.head().result_int());
     for (const auto &field : exchange.head()) {
--- a/packages/daemon/src/gate/gaterun.h
+++ b/packages/daemon/src/gate/gaterun.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission.h"
+#include "bytecharge.h"
 #include "decision/outcome.h"
 #include "framechannel.h"
 #include "gatecontext.h"
@@ -22,6 +23,11 @@
     void run(const Yield &yield);
     /// Runs a request whose slot has been granted. The calling code holds the slot.
     void runReserved(Millis grantedAt, const Yield &yield);
+    /// Passes the place of a streamed body, which is returned once the body has arrived.
+    void setStreamedPlace(std::unique_ptr<StreamedSlots::Place> place)
+    {
+        m_streamedPlace = std::move(place);
+    }
 
 private:
     /// Answers an operation that must not run. Returns whether it did.
@@ -78,6 +84,9 @@
     GateContext &m_gate;
     wire::ProxyRequestT m_request;
     FrameChannel &m_channel;
+    ByteCharge m_bytes;
+    std::unique_ptr<StreamedSlots::Place> m_streamedPlace; ///< while a streamed body is still arriving
+    std::uint64_t m_runNumber = 0;
     std::optional<OperationId> m_operation;
     std::shared_ptr<UpstreamExchange> m_exchange;
     http::request<http::buffer_body> m_upstreamRequest;
--- a/packages/daemon/src/gate/slotreservation.cpp
+++ b/packages/daemon/src/gate/slotreservation.cpp
@@ -2,6 +2,8 @@
 
 #include "bodydigest.h"
 
+#include <algorithm>
+
 namespace mustardpond {
 
 namespace {
@@ -33,7 +35,14 @@
         deny(*denial, yield);
         return nullptr;
     }
+    if (m_reserve.streamed && !waitForStreamedPlace(*findUpstream(m_gate, m_query), yield)) {
+        return nullptr;
+    }
     const LocalUpstream *upstream = findUpstream(m_gate, m_query);
+    if (!upstream) {
+        deny({NotRunReason::NoUpstream, "the gate does not serve the upstream"}, yield);
+        return nullptr;
+    }
     auto slot = waitForSlot(*upstream, yield);
     if (!slot) {
         return nullptr;
@@ -82,6 +91,28 @@
     }
 }
 
+bool SlotReservation::waitForStreamedPlace(const LocalUpstream &upstream, const Yield &yield)
+{
+    const std::string id = upstream.announced.id;
+    const std::size_t slots = upstream.queue->slots();
+    m_streamedPlace = m_gate.streamedSlots.tryAcquire(id, slots);
+    if (m_streamedPlace) {
+        return true;
+    }
+    const Denial denial{NotRunReason::Busy, "too many bodies are still arriving at the upstream"};
+    if (!m_reserve.mayWait) {
+        deny(denial, yield);
+        return false;
+    }
+    sendState(wire::TurnState::Waiting, yield);
+    const Millis timeLeft = m_deadline - m_gate.clock.now();
+    m_streamedPlace = m_gate.streamedSlots.acquire(id, slots, std::max(Millis(1), timeLeft), yield);
+    if (!m_streamedPlace) {
+        deny(denial, yield);
+    }
+    return m_streamedPlace != nullptr;
+}
+
 SlotPriority SlotReservation::slotPriority() const
 {
     // Calls that a running request waits for go first, except for the slots that the queue guarantees to other
--- a/packages/daemon/src/gate/slotreservation.h
+++ b/packages/daemon/src/gate/slotreservation.h
@@ -18,6 +18,12 @@
     /// Acquires a slot and notifies the router. Returns null if there is none; the router has been notified of that,
     /// too. Throws boost::system::system_error when the channel fails; no slot is held then.
     std::unique_ptr<SlotGuard> acquire(const Yield &yield);
+    /// Returns the place of a streamed body among those that still arrive; null for other requests. To be called when
+    /// the slot has been granted.
+    std::unique_ptr<StreamedSlots::Place> takeStreamedPlace()
+    {
+        return std::move(m_streamedPlace);
+    }
     /// When the slot was granted, on the gate's clock.
     Millis grantedAt() const
     {
@@ -26,6 +32,9 @@
 
 private:
     std::unique_ptr<SlotGuard> waitForSlot(const LocalUpstream &upstream, const Yield &yield);
+    /// Waits until the upstream may receive another streamed body. Returns false if it may not, or not in time; the
+    /// router has been notified then.
+    bool waitForStreamedPlace(const LocalUpstream &upstream, const Yield &yield);
     SlotPriority slotPriority() const;
     SlotResult requestSlot(const std::shared_ptr<SlotQueue> &queue, const Yield &yield);
     void sendState(wire::TurnState state, const Yield &yield);
@@ -35,6 +44,7 @@
     const wire::ReserveT &m_reserve;
     FrameChannel &m_channel;
     AdmissionQuery m_query;
+    std::unique_ptr<StreamedSlots::Place> m_streamedPlace;
     Millis m_deadline;
     Millis m_grantedAt;
     bool m_withdrawn = false; ///< the router closed the channel, or sent data while it had to wait
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -98,6 +98,9 @@
     writeCounters(text, "mustardpond_retries_total", "service", m_retries);
     writeCounters(text, "mustardpond_hand_overs_total", "service", m_handOvers);
     writeCounters(text, "mustardpond_region_bytes_total", "organisation", m_regionBytes);
+    if (!m_limits.empty()) {
+        writeCounters(text, "mustardpond_limits_total", "cause", m_limits);
+    }
     return text;
 }
 
--- a/packages/daemon/src/metrics.h
+++ b/packages/daemon/src/metrics.h
@@ -3,6 +3,7 @@
 
 #include "decision/outcome.h"
 #include "foundation/clock.h"
+#include "limitreport.h"
 
 #include <cstdint>
 #include <map>
@@ -38,6 +39,11 @@
     {
         ++m_handOvers[service];
     }
+    /// Counts a request or connection that a limit has cost a caller.
+    void addLimit(LimitCause cause)
+    {
+        ++m_limits[std::string(nameOf(LIMIT_CAUSE_NAMES, cause))];
+    }
     /// Counts bytes sent between regions on behalf of an organisation.
     void addRegionBytes(const std::string &organisation, std::uint64_t bytes)
     {
@@ -53,6 +59,7 @@
     std::map<std::string, std::uint64_t> m_retries;
     std::map<std::string, std::uint64_t> m_handOvers;
     std::map<std::string, std::uint64_t> m_regionBytes;
+    std::map<std::string, std::uint64_t> m_limits;
 };
 
 } // namespace mustardpond
--- a/packages/daemon/src/router/answerstream.cpp
+++ b/packages/daemon/src/router/answerstream.cpp
@@ -2,6 +2,7 @@
 
 #include "bodydigest.h"
 
+#include "foundation/bytes.h"
 #include "foundation/errors.h"
 
 #include <algorithm>
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr Millis CHUNK_TIMEOUT{30000};
+constexpr std::size_t PIECE_BYTES = 64 * KIB; ///< written at a time; a caller that takes none is noticed
 
 Millis timeLeft(const StreamedAnswer &answer)
 {
@@ -24,22 +26,40 @@
 
 using Serializer = http::response_serializer<http::buffer_body>;
 
-void writePiece(beast::tcp_stream &caller, http::response<http::buffer_body> &head, Serializer &serializer,
-                std::vector<std::uint8_t> &piece, bool last, const Yield &yield)
+/// Writes a part of a body. While the caller does not take it, it may be evicted from the byte budget.
+void writePart(beast::tcp_stream &caller, BodyHold &hold, http::response<http::buffer_body> &head,
+               Serializer &serializer, std::vector<std::uint8_t> &part, bool last, const Yield &yield)
 {
-    head.body().data = piece.data();
-    head.body().size = piece.size();
-    head.body().more = !last;
-    caller.expires_after(toDuration(CALLER_WRITE_TIMEOUT));
-    ErrorCode error;
-    http::async_write(caller, serializer, yield[error]);
-    if (error && error != http::error::need_buffer) {
-        throw boost::system::system_error(error);
-    }
+    hold.charge(part.size());
+    hold.setEvictable(true);
+    std::size_t written = 0;
+    do {
+        const std::size_t size = std::min(PIECE_BYTES, part.size() - written);
+        head.body().data = part.data() + written;
+        head.body().size = size;
+        written += size;
+        head.body().more = !last || written < part.size();
+        caller.expires_after(toDuration(CALLER_WRITE_TIMEOUT));
+        ErrorCode error;
+        http::async_write(caller, serializer, yield[error]);
+        if (error && error != http::error::need_buffer) {
+            throw boost::system::system_error(error);
+        }
+        hold.onProgress(size);
+    } while (written < part.size());
+    hold.setEvictable(false);
+    hold.giveBack(part.size());
 }
 
 } // namespace
 
+void writeAnswer(beast::tcp_stream &caller, BodyHold &hold, http::response<http::buffer_body> &head,
+                 std::vector<std::uint8_t> &body, const Yield &yield)
+{
+    Serializer serializer(head);
+    writePart(caller, hold, head, serializer, body, true, yield);
+}
+
 void streamAnswer(beast::tcp_stream &caller, http::response<http::buffer_body> &head, StreamedAnswer answer,
                   const Yield &yield)
 {
@@ -50,7 +70,8 @@
     http::async_write_header(caller, serializer, yield);
     StreamDigest digest;
     digest.add(answer.start.data(), answer.start.size());
-    writePiece(caller, head, serializer, answer.start, false, yield);
+    writePart(caller, answer.hold, head, serializer, answer.start, false, yield);
+    answer.start = {};
     for (bool last = false; !last;) {
         const Millis timeout = std::min(CHUNK_TIMEOUT, timeLeft(answer));
         auto chunk = answer.rest->receiveFor<wire::BodyChunkT>(answer.request, timeout, yield);
@@ -59,8 +80,15 @@
         if (last && digest.value() != chunk.digest) {
             throw BadFrame("a streamed answer does not match its digest: check the link between the daemons");
         }
-        writePiece(caller, head, serializer, chunk.body, last, yield);
+        writePart(caller, answer.hold, head, serializer, chunk.body, last, yield);
     }
 }
 
+void resetConnection(beast::tcp_stream &caller)
+{
+    ErrorCode ignored;
+    caller.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    caller.socket().close(ignored);
+}
+
 } // namespace mustardpond
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -1,64 +1,41 @@
 #include "callersession.h"
 
 #include "answerstream.h"
+#include "callerdrain.h"
+#include "callerhead.h"
+#include "inputproblem.h"
+#include "intendedrequest.h"
 
 #include "decision/stopadmission.h"
 #include "foundation/bytes.h"
-#include "foundation/errors.h"
 #include "foundation/events.h"
 #include "httprules.h"
 #include "messagehead.h"
 #include "net/bodybuffer.h"
 #include "operationopener.h"
 #include "regionbytecounter.h"
+#include "requestrecord.h"
 #include "router.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <charconv>
-#include <optional>
 
 namespace mustardpond {
 
 namespace {
 
 constexpr const char OPERATIONS_PATH[] = "/-/operations";
-constexpr std::size_t READ_BUFFER_BYTES = 64 * KIB;
-constexpr std::size_t HEAD_READ_BYTES = 1 * KIB;
-constexpr std::size_t DRAIN_READ_BYTES = 16 * KIB;
-constexpr Millis DRAIN_TIMEOUT{10000}; ///< for a caller to send the rest of a body that was answered early
-constexpr Millis DRAIN_IDLE_TIMEOUT{2000}; ///< without data from the caller
+constexpr std::size_t REQUEST_BYTES = 4 * KIB; ///< that any request takes from the byte budget
+constexpr int SEND_BUFFER_BYTES = 64 * KIB; ///< in the kernel, which would buffer MBs for a caller that does not read
 constexpr Millis OPEN_TIMEOUT{5000};
 constexpr Millis MIN_RETRY_AFTER{200};
 constexpr Millis PROBLEM_RETRY_AFTER{1000}; ///< sent with every answer of replyProblem()
-constexpr Millis QUARANTINE_RETRY_AFTER{60000}; ///< for a request that crashes upstreams
-
-std::string textOf(beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
 
 /// Returns the host without its port.
 std::string hostOf(beast::string_view field)
 {
-    return textOf(field.substr(0, field.find(':')));
-}
-
-struct IntendedRequest {
-    std::string path;
-    std::string method;
-};
-
-/// Parses the request that an operation is opened for. Returns nothing if it is malformed.
-std::optional<IntendedRequest> parseIntendedRequest(const std::vector<std::uint8_t> &body)
-{
-    try {
-        const auto document = nlohmann::json::parse(body.begin(), body.end());
-        return IntendedRequest{document.at("path").get<std::string>(), document.value("method", "POST")};
-    } catch (const nlohmann::json::exception &) {
-        return std::nullopt;
-    }
+    return std::string(field.substr(0, field.find(':')));
 }
 
 } // namespace
@@ -66,11 +43,14 @@
 CallerSession::CallerSession(Router &router, tcp::socket socket)
     : m_router(router)
     , m_stream(std::move(socket))
+    , m_hold(router.bodyBudget(), [this] { m_stream.cancel(); })
+    , m_buffer(m_hold)
     , m_idleSince(router.clock().now())
 {
     m_router.addSession(this);
     ErrorCode ignored;
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    m_stream.socket().set_option(asio::socket_base::send_buffer_size(SEND_BUFFER_BYTES), ignored);
 }
 
 CallerSession::~CallerSession()
@@ -90,75 +70,62 @@
     }
 }
 
+bool CallerSession::mayBeClosed(Millis silence) const
+{
+    const bool idle = !m_busy && m_buffer.size() == 0;
+    ErrorCode error;
+    const bool hasSent = idle && m_stream.socket().available(error) > 0;
+    return (idle && !hasSent) || silence >= ByteBudget::PROGRESS_TIME;
+}
+
+void CallerSession::closeForOther()
+{
+    m_keepOpen = false;
+    m_stream.close();
+}
+
 void CallerSession::run(const Yield &yield)
 {
     while (m_keepOpen && readHead(yield)) {
         m_busy = true;
         handle(yield);
-        releaseBuffer();
+        releaseMemory();
         m_busy = false;
         m_idleSince = m_router.clock().now();
     }
-    drain(yield);
-}
-
-void CallerSession::drain(const Yield &yield)
-{
-    // Closing with unread bytes would reset the connection and could destroy the last reply.
-    ErrorCode error;
-    m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    std::vector<char> scratch(DRAIN_READ_BYTES);
-    const Millis deadline = m_router.clock().now() + DRAIN_TIMEOUT;
-    while (!error && m_router.clock().now() < deadline) {
-        m_stream.expires_after(toDuration(DRAIN_IDLE_TIMEOUT));
-        m_stream.async_read_some(asio::buffer(scratch), yield[error]);
+    releaseMemory();
+    if (m_stream.socket().is_open()) {
+        m_hold.setEvictable(true); // by a new connection, as the router only waits for the caller here
+        drainCaller(m_stream, m_router.clock(), yield);
     }
 }
 
 bool CallerSession::readHead(const Yield &yield)
 {
     m_parser.emplace();
-    const CallerLimits limits = callerLimits();
-    m_buffer.max_size(limits.headBytes + MAX_READ_BUFFER_BYTES);
-    m_parser->header_limit(static_cast<std::uint32_t>(limits.headBytes));
-    m_parser->body_limit(limits.bodyBytes);
-    ErrorCode error;
-    if (m_buffer.size() == 0) {
-        m_stream.expires_after(toDuration(limits.idleTimeout));
-        m_buffer.commit(m_stream.async_read_some(m_buffer.prepare(HEAD_READ_BYTES), yield[error]));
-    }
-    if (!error) {
-        m_stream.expires_after(toDuration(limits.headTimeout));
-        http::async_read_header(m_stream, m_buffer, *m_parser, yield[error]);
-    } else if (error == asio::error::eof) {
-        error = http::error::end_of_stream;
-    }
+    const ErrorCode error = readCallerHead(m_stream, m_buffer, m_hold, *m_parser, callerLimits(), yield);
     if (!error) {
         return true;
     }
-    if (error != http::error::end_of_stream) {
-        rejectMalformed(error, yield);
-    }
+    m_keepOpen = false;
+    rejectInput(problemOfHead(error, m_hold, m_buffer.size() > 0), yield);
     return false;
 }
 
-void CallerSession::rejectMalformed(ErrorCode error, const Yield &yield)
+void CallerSession::rejectInput(const std::optional<InputProblem> &problem, const Yield &yield)
 {
-    m_keepOpen = false;
-    if (error == http::error::header_limit) {
-        return replyProblem(http::status::request_header_fields_too_large,
-                            "the head of the request is too large: send fewer or shorter header fields", yield);
-    }
-    if (error == beast::error::timeout) {
-        if (m_buffer.size() == 0) {
-            return;
-        }
-        return replyProblem(http::status::request_timeout, "the request did not arrive in time: send it faster", yield);
+    m_hold.reduceTo(m_buffer.chargedBytes());
+    m_buffer.shrink();
+    if (!problem) {
+        return;
     }
-    if (error.category() == http::make_error_code(http::error::bad_method).category()) {
-        replyProblem(http::status::bad_request, "not a valid HTTP/1.1 request (" + error.message() + "): correct it",
-                     yield);
+    if (problem->status == http::status::service_unavailable) {
+        m_router.reportLimit(LimitCause::BudgetFull);
     }
+    RouterAnswer answer;
+    answer.detail = problem->detail;
+    answer.retryAfter = problem->retryAfter;
+    replyRouterAnswer(problem->status, answer, yield);
 }
 
 void CallerSession::handle(const Yield &yield)
@@ -244,6 +211,9 @@
     DispatchResult result = dispatch.run(yield);
     m_dispatch = nullptr;
     stopWatching();
+    if (rest.isStalled()) {
+        m_router.reportLimit(LimitCause::Stalled);
+    }
     if (dispatch.hasCallerLeft()) {
         m_keepOpen = false;
         return;
@@ -319,14 +289,7 @@
     if (m_router.isAccepting() || !request.operation.empty()) {
         return false;
     }
-    const DispatchContext &context = m_router.dispatchContext();
-    const Millis now = m_router.clock().now();
-    LateRequest late;
-    late.timeLeft = request.deadline - now;
-    late.untilStop = *context.stopAt - now;
-    late.serviceTime = m_router.table().classServiceTime(request.service, request.workClass.name);
-    late.latencyTarget = request.workClass.latencyTarget;
-    late.inner = request.inner;
+    const LateRequest late = lateRequestOf(m_router, request);
     if (endsBeforeStop(late)) {
         return false;
     }
@@ -342,31 +305,24 @@
 
 bool CallerSession::readBody(CallerRequest &request, const Yield &yield)
 {
-    const std::size_t limit = m_router.settings().limits.bufferedBodyBytes;
-    CallerBody body = bodyReader();
-    std::vector<std::uint8_t> piece;
     ErrorCode failure;
-    try {
-        while (!m_parser->is_done() && request.body.size() < limit) {
-            body.next(piece, yield);
-            request.body.insert(request.body.end(), piece.begin(), piece.end());
+    if (!m_hold.take(REQUEST_BYTES, REQUEST_BYTES, yield)) {
+        failure = asio::error::no_buffer_space;
+    } else if (!m_parser->is_done()) {
+        m_hold.setEvictable(true);
+        try {
+            bodyReader().readStart(request.body, m_router.settings().limits.bufferedBodyBytes, yield);
+        } catch (const boost::system::system_error &error) {
+            failure = error.code();
         }
-    } catch (const boost::system::system_error &error) {
-        failure = error.code();
+        m_hold.setEvictable(false);
     }
     if (!failure) {
         return true;
     }
-    m_keepOpen = false;
-    const bool timedOut = failure == beast::error::timeout;
-    if (failure == http::error::body_limit) {
-        replyProblem(http::status::payload_too_large, "the body is too large: send a smaller one", yield);
-        return false;
-    }
-    replyProblem(timedOut ? http::status::request_timeout : http::status::bad_request,
-                 timedOut ? "the body did not arrive in time: send it faster"
-                          : "the body is incomplete (" + failure.message() + "): send it whole",
-                 yield);
+    request.body = {};
+    m_keepOpen = m_keepOpen && m_parser->is_done() && !m_hold.isEvicted();
+    rejectInput(problemOfBody(failure, m_hold), yield);
     return false;
 }
 
@@ -407,30 +363,19 @@
 
 void CallerSession::watchCaller(const CallerRequest &request, Dispatch &dispatch)
 {
-    m_watching = std::make_shared<bool>(true);
+    m_watch.reset();
     if (request.source) {
         return;
     }
-    m_stream.socket().async_wait(
-        tcp::socket::wait_read, [this, watching = m_watching, &request, &dispatch](ErrorCode error) {
-            if (error || !*watching) {
-                return;
-            }
-            char byte = 0;
-            ErrorCode state;
-            const auto peeked = m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, state);
-            if (state || peeked == 0) {
-                logEvent(Event::RequestLeft, {{"request", request.id}, {"service", request.service}});
-                dispatch.leave();
-            }
-        });
+    m_watch = std::make_unique<CallerWatch>(m_stream.socket(), [&request, &dispatch] {
+        logEvent(Event::RequestLeft, {{"request", request.id}, {"service", request.service}});
+        dispatch.leave();
+    });
 }
 
 void CallerSession::stopWatching()
 {
-    *m_watching = false;
-    ErrorCode ignored;
-    m_stream.socket().cancel(ignored);
+    m_watch.reset();
 }
 
 CallerLimits CallerSession::callerLimits() const
@@ -445,7 +390,7 @@
 
 void CallerSession::reply(const CallerRequest &request, DispatchResult result, Millis startedAt, const Yield &yield)
 {
-    recordResult(request, result, startedAt);
+    recordResult(m_router, request, result, startedAt);
     if (request.source && !m_parser->is_done()) {
         m_keepOpen = false;
     }
@@ -455,86 +400,21 @@
     if (result.answer.outcome == wire::Outcome::Ran) {
         return replyRan(request, result, yield);
     }
-    RouterAnswer routerAnswer{static_cast<Outcome>(result.answer.outcome),
-                              static_cast<NotRunReason>(result.answer.reason), result.answer.detail, result.retryAfter,
-                              result.timedOut};
-    if (routerAnswer.reason == NotRunReason::Quarantined) {
-        routerAnswer.retryAfter = QUARANTINE_RETRY_AFTER;
-    }
-    logRouterAnswer(request, routerAnswer, result, startedAt);
+    const RouterAnswer routerAnswer = routerAnswerOf(result);
+    logRouterAnswer(m_router, request, routerAnswer, result, startedAt);
     replyRouterAnswer(m_router.dialect().statusOf(routerAnswer), routerAnswer, yield);
 }
 
-void CallerSession::logRouterAnswer(const CallerRequest &request, const RouterAnswer &answer,
-                                    const DispatchResult &result, Millis startedAt)
+void CallerSession::releaseMemory()
 {
-    logEvent(answer.outcome == Outcome::NotRun ? Event::RequestRefused : Event::RequestFailed,
-             {{"request", request.id},
-              {"service", request.service},
-              {"class", request.workClass.name},
-              {"inner", request.inner},
-              {"upstream", result.upstream},
-              {"asked", result.gatesAsked},
-              {"config", m_router.view().config->newestVersion()},
-              {"reason", nameOf(NOT_RUN_REASON_NAMES, answer.reason)},
-              {"detail", answer.detail},
-              {"afterMs", (m_router.clock().now() - startedAt).value},
-              {"leftMs", (request.deadline - m_router.clock().now()).value},
-              {"retryAfterMs", answer.retryAfter.value}});
-}
-
-void CallerSession::releaseBuffer()
-{
-    if (m_buffer.capacity() >= READ_BUFFER_BYTES) {
-        m_buffer.shrink_to_fit();
-    }
-}
-
-void CallerSession::recordResult(const CallerRequest &request, const DispatchResult &result, Millis startedAt)
-{
-    const Millis now = m_router.clock().now();
-    const Millis latency = now - startedAt;
-    const auto outcome = static_cast<Outcome>(result.answer.outcome);
-    m_router.metrics().addRequest(
-        {request.service, request.workClass.name, outcome, latency, Millis(result.answer.upstreamMs)});
-    FinishedRequest finished;
-    finished.service = request.service;
-    finished.workClass = request.workClass.name;
-    finished.upstream = result.upstream;
-    const bool succeeded = outcome == Outcome::Ran && !isServerError(result.answer.status);
-    finished.good = succeeded && latency <= request.workClass.latencyTarget;
-    finished.retried = result.retried;
-    finished.spilled = result.distance == Distance::OtherRegion;
-    finished.held = result.held;
-    m_router.burn().add(finished, now);
-    if (outcome == Outcome::Ran) {
-        logEvent(succeeded && !finished.good ? Event::RequestLate : Event::RequestAnswered,
-                 {{"request", request.id},
-                  {"class", request.workClass.name},
-                  {"service", request.service},
-                  {"upstream", result.upstream},
-                  {"inner", request.inner},
-                  {"distance", nameOf(DISTANCE_NAMES, result.distance)},
-                  {"status", result.answer.status},
-                  {"bytes", request.body.size() + result.answer.body.size()},
-                  {"afterMs", latency.value},
-                  {"targetMs", request.workClass.latencyTarget.value},
-                  {"upstreamMs", result.answer.upstreamMs},
-                  {"queuedMs", result.answer.queuedMs},
-                  {"retried", result.retried},
-                  {"config", m_router.view().config->newestVersion()}});
-    }
+    m_buffer.shrink();
+    m_hold.reduceTo(m_buffer.chargedBytes());
 }
 
 void CallerSession::replyRan(const CallerRequest &request, DispatchResult &result, const Yield &yield)
 {
     const wire::AnswerT &answer = result.answer;
-    http::response<http::buffer_body> response;
-    response.result(answer.status);
-    response.version(m_parser->get().version());
-    for (const auto &header : answer.headers) {
-        response.insert(header->name, header->value);
-    }
+    http::response<http::buffer_body> response = responseHeadOf(answer, m_parser->get().version());
     m_router.dialect().setAnswerFields({result.upstream}, response);
     response.keep_alive(keepAlive());
     const bool isHead = m_parser->get().method() == http::verb::head;
@@ -547,11 +427,10 @@
     if (!isHead && !bodyless) {
         response.content_length(answer.body.size());
     }
-    response.body().data = const_cast<std::uint8_t *>(answer.body.data());
-    response.body().size = isHead ? 0 : answer.body.size();
-    response.body().more = false;
-    m_stream.expires_after(toDuration(CALLER_WRITE_TIMEOUT));
-    http::async_write(m_stream, response, yield);
+    if (isHead) {
+        result.answer.body.clear();
+    }
+    writeAnswer(m_stream, m_hold, response, result.answer.body, yield);
     m_keepOpen = m_keepOpen && response.keep_alive();
 }
 
@@ -563,16 +442,15 @@
         response.chunked(true);
     }
     try {
-        StreamedAnswer answer{result.answer.request, std::move(result.answer.body), result.channel.get(), deadline,
-                              m_router.clock()};
+        StreamedAnswer answer{result.answer.request, std::move(result.answer.body),
+                              result.channel.get(),  deadline,
+                              m_router.clock(),      m_hold};
         streamAnswer(m_stream, response, std::move(answer), yield);
         m_keepOpen = m_keepOpen && response.keep_alive() && (lengthKnown || response.chunked());
     } catch (const std::exception &) {
         // A reset marks the answer as truncated even if its framing gives no length.
         logEvent(Event::AnswerDiscarded, {{"upstream", result.upstream}});
-        ErrorCode ignored;
-        m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-        m_stream.socket().close(ignored);
+        resetConnection(m_stream);
         m_keepOpen = false;
     }
 }
@@ -604,7 +482,13 @@
 
 CallerBody CallerSession::bodyReader()
 {
-    return {m_stream, m_buffer, *m_parser, m_router.settings().limits.callerIdleTimeout};
+    const DaemonLimits &limits = m_router.settings().limits;
+    return {m_stream,
+            m_buffer,
+            *m_parser,
+            m_hold,
+            {limits.callerIdleTimeout, limits.headBytes + MAX_READ_BUFFER_BYTES, limits.bodyMinBytesPerSecond,
+             limits.bodyStallTime}};
 }
 
 bool CallerSession::keepAlive() const
--- a/packages/daemon/src/router/callersession.h
+++ b/packages/daemon/src/router/callersession.h
@@ -1,10 +1,14 @@
 /// One caller's connection to the router.
 #pragma once
 
+#include "bodybudget.h"
 #include "callerbody.h"
 #include "callerdialect.h"
+#include "callerwatch.h"
 #include "config/objects.h"
 #include "dispatch.h"
+#include "inputproblem.h"
+#include "readbuffer.h"
 
 #include <memory>
 #include <optional>
@@ -34,13 +38,23 @@
     }
     /// Interrupts the current request, if any, because the router stops. Its answer states whether it may have run.
     void abortPending();
+    /// Returns for how long the router has waited for this caller; nothing while a request is being served.
+    std::optional<Millis> callerSilence(Millis now) const
+    {
+        return m_hold.silence(now);
+    }
+    /// Whether the connection may be closed in favour of another caller's: it is idle, or has stopped in the middle of
+    /// a request for a while.
+    bool mayBeClosed(Millis silence) const;
+    /// Closes the connection in favour of another caller's.
+    void closeForOther();
 
 private:
     using RequestParser = http::request_parser<http::buffer_body>;
 
-    void drain(const Yield &yield);
     bool readHead(const Yield &yield);
-    void rejectMalformed(ErrorCode error, const Yield &yield);
+    /// Answers a request that could not be read, if its caller is to be told.
+    void rejectInput(const std::optional<InputProblem> &problem, const Yield &yield);
     void handle(const Yield &yield);
     void openOperation(const Yield &yield);
     void proxy(const Yield &yield);
@@ -52,15 +66,13 @@
     void replyRan(const CallerRequest &request, DispatchResult &result, const Yield &yield);
     void replyStreamed(DispatchResult &result, http::response<http::buffer_body> &response, Millis deadline,
                        const Yield &yield);
-    /// Frees the read buffer if a large body has grown it; most connections are idle.
-    void releaseBuffer();
+    /// Frees what the last request has needed; most connections are idle.
+    void releaseMemory();
     CallerBody bodyReader();
     void replyProblem(http::status status, const std::string &detail, const Yield &yield);
     void replyRouterAnswer(http::status status, const RouterAnswer &answer, const Yield &yield);
     /// Answers a request that arrives late in a planned stop and might outlast it as not run. Returns whether it did.
     bool refuseLate(const CallerRequest &request, Millis startedAt, const Yield &yield);
-    void logRouterAnswer(const CallerRequest &request, const RouterAnswer &answer, const DispatchResult &result,
-                         Millis startedAt);
     /// Calls Dispatch::leave() when the caller closes its connection.
     void watchCaller(const CallerRequest &request, Dispatch &dispatch);
     void stopWatching();
@@ -69,18 +81,18 @@
     /// Whether the call comes from the upstream on this host, on behalf of a request that it is running.
     bool isInner(const CallerMetadata &metadata) const;
     void replyText(http::response<http::string_body> &response, const Yield &yield);
-    void recordResult(const CallerRequest &request, const DispatchResult &result, Millis startedAt);
     bool keepAlive() const;
 
     Router &m_router;
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    BodyHold m_hold;
+    ReadBuffer m_buffer;
     std::optional<RequestParser> m_parser;
     Millis m_idleSince;
     bool m_busy = false;
     Dispatch *m_dispatch = nullptr; ///< of the current request
     bool m_keepOpen = true;
-    std::shared_ptr<bool> m_watching; ///< whether the caller is being watched
+    std::unique_ptr<CallerWatch> m_watch; ///< while a request is being served
 };
 
 } // namespace mustardpond
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -34,6 +34,7 @@
 constexpr int PROMPT_REFUSAL_ROUND = 5; ///< with prompt refusal, a request is refused after this round at the latest
 constexpr int MAX_REMOTE_GATES = 2; ///< gates in other regions that are contacted before the request may wait at one
 constexpr std::size_t LARGE_BODY_BYTES = 16 * KIB;
+constexpr std::size_t STREAM_PIECE_BYTES = 64 * KIB;
 constexpr Millis MIN_RETRY_AFTER{200};
 constexpr Millis GATE_RESPONSE_TIMEOUT{150}; ///< to connect or for the first frame, beyond the usual round trip
 constexpr Millis OTHER_REGION_ROUND_TRIP{30}; ///< to another region and back, with a margin for jitter
@@ -643,6 +644,7 @@
         && (maxAttempts == 0 || static_cast<int>(m_sentTo.size()) + 1 < maxAttempts)
         && m_shared.table.retryBudget(m_request.service).hasRetry();
     reserve.mustServe = mustServe() || m_shared.table.mustServe(m_request.service, ref.id, m_request.workClass.name);
+    reserve.streamed = m_request.source != nullptr;
     return reserve;
 }
 
@@ -659,10 +661,9 @@
     const bool crossesRegions = run.ref.distance == Distance::OtherRegion;
     const RegionByteCounter counter(m_shared.metrics, m_request.organisation, channel, crossesRegions);
     const std::uint64_t number = run.start.attempt;
-    const std::string bytes = packMessage(message(run.ref, number));
     run.attempt.sent = true;
     m_sentTo.insert(run.ref.id);
-    channel.send(bytes, SEND_TIMEOUT, yield);
+    channel.send(packMessage(message(run.ref, number)), SEND_TIMEOUT, yield);
     if (m_request.source) {
         sendStream(channel, number, run.attempt, yield);
         if (run.attempt.answer.digest != 0) {
@@ -744,9 +745,19 @@
     }
     m_bodyConsumed = true;
     StreamDigest digest;
-    std::vector<std::uint8_t> piece = m_request.body;
+    // In small pieces, so that neither side needs room for the whole start of the body once more.
+    std::vector<std::uint8_t> start = std::move(m_request.body);
+    std::size_t startSent = 0;
+    std::vector<std::uint8_t> piece;
     for (bool more = true; more;) {
-        if (piece.empty()) {
+        if (startSent < start.size()) {
+            const std::size_t end = std::min(startSent + STREAM_PIECE_BYTES, start.size());
+            piece.assign(start.begin() + static_cast<std::ptrdiff_t>(startSent),
+                         start.begin() + static_cast<std::ptrdiff_t>(end));
+            startSent = end;
+        } else {
+            start = {};
+            startSent = 0;
             more = m_request.source->next(piece, yield);
         }
         digest.add(piece.data(), piece.size());
--- a/packages/daemon/src/router/gatepool.cpp
+++ b/packages/daemon/src/router/gatepool.cpp
@@ -16,6 +16,7 @@
     while (!idle.empty()) {
         IdleChannel newest = std::move(idle.back());
         idle.pop_back();
+        --m_channels;
         if (m_clock.now() - newest.since <= m_maxIdle && !isStale(newest.channel->socket())) {
             return std::move(newest.channel);
         }
@@ -49,9 +50,22 @@
 void GatePool::release(const std::string &address, std::unique_ptr<FrameChannel> channel)
 {
     auto &idle = m_idle[address];
-    idle.push_back({std::move(channel), m_clock.now()});
-    if (idle.size() > MAX_IDLE_PER_GATE) {
+    const Millis now = m_clock.now();
+    idle.push_back({std::move(channel), now});
+    ++m_channels;
+    while (!idle.empty()
+           && (idle.size() > MAX_IDLE_PER_GATE || m_channels > m_maxChannels || now - idle.front().since > m_maxIdle)) {
         idle.pop_front();
+        --m_channels;
+    }
+}
+
+void GatePool::drop(const std::string &address)
+{
+    const auto found = m_idle.find(address);
+    if (found != m_idle.end()) {
+        m_channels -= found->second.size();
+        m_idle.erase(found);
     }
 }
 
--- a/packages/daemon/src/router/gatepool.h
+++ b/packages/daemon/src/router/gatepool.h
@@ -12,6 +12,7 @@
 namespace mustardpond {
 
 constexpr Millis DEFAULT_MAX_IDLE{60000};
+constexpr std::size_t DEFAULT_MAX_CHANNELS = 1000;
 
 /// A channel serves one exchange at a time, so TCP provides the back-pressure and a failed exchange costs only one
 /// connection.
@@ -27,6 +28,16 @@
     {
     }
 
+    /// Limits the idle channels to all gates together. They would take the descriptors that callers and requests need:
+    /// with many gates, each may have some.
+    void setMaxChannels(std::size_t maxChannels)
+    {
+        m_maxChannels = maxChannels;
+    }
+    std::size_t idleChannels() const
+    {
+        return m_channels;
+    }
     /// Returns an idle channel that is neither stale nor idle for too long; null when there is none.
     std::unique_ptr<FrameChannel> acquireIdle(const std::string &address);
     /// Opens a new channel. Throws boost::system::system_error.
@@ -35,10 +46,7 @@
     std::unique_ptr<FrameChannel> acquire(const std::string &address, Millis timeout, const Yield &yield);
     void release(const std::string &address, std::unique_ptr<FrameChannel> channel);
     /// Closes the idle channels to an address.
-    void drop(const std::string &address)
-    {
-        m_idle.erase(address);
-    }
+    void drop(const std::string &address);
 
 private:
     asio::io_context &m_context;
@@ -49,6 +57,8 @@
     };
 
     Millis m_maxIdle;
+    std::size_t m_maxChannels = DEFAULT_MAX_CHANNELS;
+    std::size_t m_channels = 0; ///< idle, to all gates
     SteadyClock m_clock;
     std::unordered_map<std::string, std::deque<IdleChannel>> m_idle;
 };
--- a/packages/daemon/src/router/router.cpp
+++ b/packages/daemon/src/router/router.cpp
@@ -2,6 +2,8 @@
 
 #include "callersession.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 
 namespace mustardpond {
@@ -13,6 +15,11 @@
 constexpr Millis SLOW_TICK_INTERVAL{1000}; ///< with detection by gates, which decides nothing between requests
 constexpr Millis CONFIGURATION_CHECK_INTERVAL{50};
 constexpr Millis MIN_IDLE_TIME{2000};
+constexpr std::size_t CALLERS_PER_IDLE_CHANNEL = 8; ///< idle connections to gates, in relation to callers'
+constexpr std::size_t MIN_IDLE_CHANNELS = 8;
+/// Of the process's descriptors. The rest is left to peers, the store and upstreams: each request needs one connection
+/// to a gate or to the upstream for a part of its time.
+constexpr double CALLER_DESCRIPTOR_SHARE = 0.75;
 
 } // namespace
 
@@ -30,14 +37,18 @@
                  m_pool,           m_metrics,    m_lastRequestNumber,
                  settings.refusal, std::nullopt, settings.detection == Detection::Gates,
                  nullptr,          nullptr}
-    , m_listener(std::make_shared<Listener>(context, settings.caller, [this](tcp::socket socket, const Yield &yield) {
-        if (!hasFreeConnection()) {
-            return;
-        }
-        CallerSession session(*this, std::move(socket));
-        session.run(yield);
-    }))
+    , m_listener(std::make_shared<Listener>(context, settings.caller,
+                                            [this](tcp::socket socket, const Yield &yield) {
+                                                if (!makeRoom()) {
+                                                    return;
+                                                }
+                                                CallerSession session(*this, std::move(socket));
+                                                session.run(yield);
+                                            }))
+    , m_bodyBudget(context, clock, settings.limits.bodyBudget())
 {
+    applyLimits();
+    m_bodyBudget.onEviction([this] { reportLimit(LimitCause::Evicted); });
 }
 
 void Router::start()
@@ -53,9 +64,42 @@
     m_listener->stop();
 }
 
-bool Router::hasFreeConnection() const
+void Router::applyLimits()
+{
+    m_bodyBudget.bytes().setTotal(m_settings.limits.bodyBudget());
+    m_pool.setMaxChannels(std::max(MIN_IDLE_CHANNELS, m_settings.limits.callerConnections / CALLERS_PER_IDLE_CHANNEL));
+}
+
+std::size_t Router::maxConnections() const
 {
-    return m_sessions.size() < m_settings.limits.callerConnections;
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+        return m_settings.limits.callerConnections;
+    }
+    const auto share = static_cast<std::size_t>(static_cast<double>(limit.rlim_cur) * CALLER_DESCRIPTOR_SHARE);
+    return std::min(m_settings.limits.callerConnections, share);
+}
+
+bool Router::makeRoom()
+{
+    if (m_sessions.size() < maxConnections()) {
+        return true;
+    }
+    const Millis now = m_clock.now();
+    CallerSession *idlest = nullptr;
+    Millis longest;
+    for (CallerSession *session : m_sessions) {
+        const auto silence = session->callerSilence(now);
+        if (silence && *silence > longest && session->mayBeClosed(*silence)) {
+            idlest = session;
+            longest = *silence;
+        }
+    }
+    reportLimit(idlest ? LimitCause::IdleClosed : LimitCause::NoConnection);
+    if (idlest) {
+        idlest->closeForOther();
+    }
+    return idlest != nullptr;
 }
 
 const std::string &Router::nextServiceOf(const RouteObject &route)
--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -1,10 +1,12 @@
 /// Accepts callers' connections and forwards each request to an upstream.
 #pragma once
 
+#include "bodybudget.h"
 #include "decision/burn.h"
 #include "decision/weightedroundrobin.h"
 #include "dialects.h"
 #include "dispatch.h"
+#include "limitreport.h"
 #include "net/listener.h"
 
 #include "foundation/kernel.h"
@@ -86,6 +88,7 @@
     {
         m_settings.service = settings.service;
         m_settings.limits = settings.limits;
+        applyLimits();
     }
     /// Returns the service for the next request of a route, which may split its requests by weight.
     const std::string &nextServiceOf(const RouteObject &route);
@@ -125,6 +128,16 @@
     {
         return m_dispatch;
     }
+    BodyBudget &bodyBudget()
+    {
+        return m_bodyBudget;
+    }
+    /// Counts and logs that a limit has cost a caller its request or its connection.
+    void reportLimit(LimitCause cause)
+    {
+        m_metrics.addLimit(cause);
+        m_limitReport.report(cause, m_clock.now());
+    }
     /// Waits until a configuration has been received. Returns false when the timeout has passed without one, or when
     /// the router is leaving.
     bool waitForConfiguration(Millis timeout, const Yield &yield);
@@ -133,7 +146,12 @@
 
 private:
     void tick(const Yield &yield);
-    bool hasFreeConnection() const;
+    void applyLimits();
+    /// Returns how many callers' connections may be open.
+    std::size_t maxConnections() const;
+    /// Makes room for a new connection, if need be by closing the one that has been idle longest. Returns false if none
+    /// is idle.
+    bool makeRoom();
 
     asio::io_context &m_context;
     const Clock &m_clock;
@@ -148,6 +166,8 @@
     std::uint64_t m_lastRequestNumber = 0;
     DispatchContext m_dispatch;
     std::shared_ptr<Listener> m_listener;
+    BodyBudget m_bodyBudget;
+    LimitReport m_limitReport;
     SaturationHandler m_onSaturation;
     std::set<CallerSession *> m_sessions;
     bool m_leaving = false;
--- a/packages/decision/include/decision/bytebudget.h
+++ b/packages/decision/include/decision/bytebudget.h
@@ -66,6 +66,8 @@
     void onProgress(Holder holder, std::size_t bytes, Millis now);
     /// Sets whether the holder waits for its peer and may be evicted. Being set counts as progress.
     void setEvictable(Holder holder, bool evictable, Millis now);
+    /// Returns the time without progress of a holder that may be evicted; nothing for others.
+    std::optional<Millis> silence(Holder holder, Millis now) const;
     /// Returns the holder with the highest product of bytes and time without progress, if any may be evicted.
     std::optional<Holder> victim(Millis now) const;
     /// Returns the time until some holder may be evicted if it makes no progress; PROGRESS_TIME if there is none.
--- a/packages/decision/src/bytebudget.cpp
+++ b/packages/decision/src/bytebudget.cpp
@@ -76,6 +76,12 @@
     state.lastProgress = now;
 }
 
+std::optional<Millis> ByteBudget::silence(Holder holder, Millis now) const
+{
+    const State &state = m_holders.at(holder);
+    return state.evictable ? std::optional<Millis>(now - state.lastProgress) : std::nullopt;
+}
+
 std::optional<ByteBudget::Holder> ByteBudget::victim(Millis now) const
 {
     std::optional<Holder> worst;
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -40,6 +40,10 @@
     CallerRejected = 601,
     AnswerDiscarded = 602,
     AnswerForeign = 603,
+    BodyRefused = 620,
+    CallerEvicted = 621,
+    BodyStalled = 622,
+    ConnectionsFull = 623,
     RequestRefused = 700,
     RequestFailed = 701,
     RequestMoved = 702,
@@ -51,7 +55,7 @@
     AddressBusy = 106,
 };
 
-constexpr EnumTable<Event, 39> EVENT_NAMES = {{
+constexpr EnumTable<Event, 43> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -82,6 +86,10 @@
     {Event::AnnouncementLate, "announcement-late"},
     {Event::AnnouncementInvalid, "announcement-invalid"},
     {Event::AnswerForeign, "answer-foreign"},
+    {Event::BodyRefused, "body-refused"},
+    {Event::CallerEvicted, "caller-evicted"},
+    {Event::BodyStalled, "body-stalled"},
+    {Event::ConnectionsFull, "connections-full"},
     {Event::RequestRefused, "request-refused"},
     {Event::RequestFailed, "request-failed"},
     {Event::RequestMoved, "request-moved"},
--- a/packages/testing/src/httpserver.cpp
+++ b/packages/testing/src/httpserver.cpp
@@ -4,6 +4,12 @@
 
 namespace mustardpond::testing {
 
+namespace {
+
+constexpr std::uint32_t MAX_HEAD_BYTES = 64 * KIB; ///< above the limit of routers
+
+} // namespace
+
 HttpServer::HttpServer(asio::io_context &context, const Endpoint &endpoint, Handler handler)
     : m_handler(std::move(handler))
     , m_listener(std::make_shared<Listener>(
@@ -19,6 +25,7 @@
     while (true) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(UNLIMITED_BYTES);
+        parser.header_limit(MAX_HEAD_BYTES);
         http::async_read_header(socket, buffer, parser, yield);
         http::async_read(socket, buffer, parser, yield);
         Request request = parser.release();
