--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -78,12 +78,9 @@
     });
     quotaLender->setProofCheck([router = router.get()] { return router->acceptsKeys(); });
     gate->setQuotaLender(quotaLender);
-    quotaLender->setOrganisations([router = router.get()](const std::string &name) {
-        const auto organisations = router->view().config ? router->view().config->organisations() : nullptr;
-        return organisations ? organisations->findByName(name) : nullptr;
-    });
     router->setQuota(std::make_unique<QuotaClient>(m_context, m_clock, m_random, m_settings, *quotaLender));
     auto local = std::make_shared<LocalEndpoint>(m_context, m_clock, m_settings, *router, *gate, dialects.announcement);
+    gate->context().byteBudget = &router->bodyBudget().bytes();
     control->onView([router = router.get(), gate = gate.get(),
                      quotaLender = quotaLender.get()](std::shared_ptr<const FleetView> view) {
         restoreFromPeers(*view, gate->context().registry);
--- a/packages/daemon/src/metrics.cpp
+++ b/packages/daemon/src/metrics.cpp
@@ -101,6 +101,9 @@
     if (!m_unauthenticated.empty()) {
         writeCounters(text, "mustardpond_unauthenticated_total", "cause", m_unauthenticated);
     }
+    if (!m_limits.empty()) {
+        writeCounters(text, "mustardpond_limits_total", "cause", m_limits);
+    }
     return text;
 }
 
--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -1,11 +1,13 @@
 /// Accepts callers' connections and forwards each request to an upstream.
 #pragma once
 
+#include "bodybudget.h"
 #include "decision/burn.h"
 #include "decision/weightedroundrobin.h"
 #include "dialects.h"
 #include "dispatch.h"
 #include "keyadmission.h"
+#include "limitreport.h"
 #include "net/listener.h"
 #include "quotaclient.h"
 #include "refusedkeys.h"
@@ -99,6 +101,7 @@
     {
         m_settings.service = settings.service;
         m_settings.limits = settings.limits;
+        applyLimits();
     }
     /// Returns the service for the next request of a route, which may split its requests by weight.
     const std::string &nextServiceOf(const RouteObject &route);
@@ -156,6 +159,16 @@
     {
         return m_keyAdmission;
     }
+    BodyBudget &bodyBudget()
+    {
+        return m_bodyBudget;
+    }
+    /// Counts and logs that a limit has cost a caller its request or its connection.
+    void reportLimit(LimitCause cause)
+    {
+        m_metrics.addLimit(cause);
+        m_limitReport.report(cause, m_clock.now());
+    }
     /// Waits until a configuration has been received. Returns false when the timeout has passed without one, or when
     /// the router is leaving.
     bool waitForConfiguration(Millis timeout, const Yield &yield);
@@ -164,7 +177,12 @@
 
 private:
     void tick(const Yield &yield);
-    bool hasFreeConnection() const;
+    void applyLimits();
+    /// Returns how many callers' connections may be open.
+    std::size_t maxConnections() const;
+    /// Makes room for a new connection, if need be by closing the one that has been idle longest. Returns false if none
+    /// is idle.
+    bool makeRoom();
 
     asio::io_context &m_context;
     const Clock &m_clock;
@@ -181,6 +199,8 @@
     std::uint64_t m_lastRequestNumber = 0;
     DispatchContext m_dispatch;
     std::shared_ptr<Listener> m_listener;
+    BodyBudget m_bodyBudget;
+    LimitReport m_limitReport;
     SaturationHandler m_onSaturation;
     std::unique_ptr<QuotaClient> m_quota;
     std::set<CallerSession *> m_sessions;
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -45,6 +45,10 @@
     OrganisationLeftOut = 610,
     KeysLeftOut = 611,
     CallerUnauthenticated = 612,
+    BodyRefused = 620,
+    CallerEvicted = 621,
+    BodyStalled = 622,
+    ConnectionsFull = 623,
     RequestRefused = 700,
     RequestFailed = 701,
     RequestMoved = 702,
@@ -60,7 +64,7 @@
     AddressBusy = 106,
 };
 
-constexpr EnumTable<Event, 48> EVENT_NAMES = {{
+constexpr EnumTable<Event, 52> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -96,6 +100,10 @@
     {Event::OrganisationLeftOut, "organisation-left-out"},
     {Event::KeysLeftOut, "keys-left-out"},
     {Event::CallerUnauthenticated, "caller-unauthenticated"},
+    {Event::BodyRefused, "body-refused"},
+    {Event::CallerEvicted, "caller-evicted"},
+    {Event::BodyStalled, "body-stalled"},
+    {Event::ConnectionsFull, "connections-full"},
     {Event::RequestRefused, "request-refused"},
     {Event::RequestFailed, "request-failed"},
     {Event::RequestMoved, "request-moved"},
