--- a/packages/daemon/src/gate/gaterun.h
+++ b/packages/daemon/src/gate/gaterun.h
@@ -102,7 +102,6 @@
     bool m_connectionLost = false; ///< the exchange failed with another error than a timeout
     AttemptResult m_result = AttemptResult::Unjudged;
     std::string m_servedBy;
-    std::uint64_t m_runNumber = 0;
     std::optional<AnswerRelay> m_relay; ///< of a streamed answer
     std::optional<RunningRequestGuard> m_runningGuard; ///< while the upstream has the request
 };
