--- /dev/null
+++ b/packages/daemon/test/quotalender_test.cpp
@@ -0,0 +1,116 @@
+#include "quotalender.h"
+
+#include <gtest/gtest.h>
+
+namespace mustardpond {
+
+namespace {
+
+class QuotaLenderTest : public ::testing::Test
+{
+protected:
+    QuotaLenderTest()
+    {
+        m_settings.node = "a";
+        m_settings.dataCentre = "ost-a";
+        m_settings.keys.strict = true;
+        m_lender = std::make_unique<QuotaLender>(m_context, m_clock, m_settings);
+        m_lender->setOrganisations([this](const std::string &name) {
+            return name == m_organisation.name ? std::make_shared<const Organisation>(m_organisation) : nullptr;
+        });
+        m_lender->setProofCheck([this] { return m_hasProof; });
+        m_organisation.name = "vakif";
+        m_organisation.ratePerSecond = 10;
+        m_organisation.burst = 5;
+        setMembers({"a"});
+        m_clock.advance(Millis(60000));
+    }
+    void setMembers(const std::vector<std::string> &nodes)
+    {
+        FleetView view;
+        for (const std::string &node : nodes) {
+            Member member;
+            member.node = node;
+            member.dataCentre = m_settings.dataCentre;
+            member.inner = "127.0.0.1:" + std::to_string(node.front());
+            view.members.push_back(member);
+            if (node == m_settings.node) {
+                view.self = member;
+            }
+        }
+        m_lender->update(view);
+    }
+    wire::QuotaReplyT ask(const std::string &organisation, unsigned count = 1)
+    {
+        wire::QuotaRequestT request;
+        request.organisation = organisation;
+        request.count = count;
+        wire::QuotaReplyT reply;
+        asio::spawn(m_context, [&](const Yield &yield) { reply = m_lender->lend(request, yield); });
+        m_context.run();
+        m_context.restart();
+        return reply;
+    }
+
+    asio::io_context m_context;
+    ManualClock m_clock;
+    DaemonSettings m_settings;
+    Organisation m_organisation;
+    bool m_hasProof = true;
+    std::unique_ptr<QuotaLender> m_lender;
+};
+
+TEST_F(QuotaLenderTest, GrantsUpToTheLimitAndTellsWhenThereIsCredit)
+{
+    EXPECT_EQ(ask("vakif", 9).granted, 5U);
+    const auto refused = ask("vakif");
+    EXPECT_EQ(refused.granted, 0U);
+    EXPECT_FALSE(refused.unavailable);
+    EXPECT_NEAR(refused.retryAfterMs, 100, 1);
+    wire::QuotaReturnT returned;
+    returned.organisation = "vakif";
+    returned.count = 1;
+    m_lender->takeBack(returned);
+    EXPECT_EQ(ask("vakif", 9).granted, 1U) << "a request that has not run used up the limit";
+}
+
+// A host with an old configuration would go on lending by a limit that has been lowered.
+TEST_F(QuotaLenderTest, LendsNothingWithoutAProofOrForAnUnknownOrganisation)
+{
+    EXPECT_TRUE(ask("unknown").unavailable);
+    m_hasProof = false;
+    EXPECT_TRUE(ask("vakif").unavailable);
+}
+
+TEST_F(QuotaLenderTest, GrantsAllWhenTheLimitWasLifted)
+{
+    m_organisation.ratePerSecond = 0;
+    EXPECT_EQ(ask("vakif", 9).granted, 9U);
+}
+
+// Two members that both lend would admit the limit twice.
+TEST_F(QuotaLenderTest, NamesTheLenderWhenItIsAnotherMember)
+{
+    const std::vector<std::string> all = {"a", "b", "c", "d"};
+    setMembers(all);
+    for (int number = 0; number < 20; ++number) {
+        m_organisation.name = std::to_string(number);
+        const std::string lender = firstLender(m_organisation.name, {all.begin(), all.end()});
+        EXPECT_EQ(ask(m_organisation.name).redirect,
+                  lender == "a" ? std::string() : "127.0.0.1:" + std::to_string(lender.front()));
+    }
+}
+
+// A host that was cut off from the others took over and lent.
+TEST_F(QuotaLenderTest, LendsNothingWhenMostOfTheDataCentreIsGone)
+{
+    setMembers({"a", "b", "c"});
+    setMembers({"a"});
+    EXPECT_TRUE(ask("vakif").unavailable);
+    m_clock.advance(Millis(10001));
+    EXPECT_FALSE(ask("vakif").unavailable) << "the others have been gone for more than 10 s";
+}
+
+} // namespace
+
+} // namespace mustardpond
