Keep accounts of substitutes until they are full

An account that was dropped while its owner lent in place of another would have been made again with the credit since the start of that term. The 22 tests of quotas, lenders and keys pass, among them 10,000 random schedules.

--- a/packages/daemon/src/quota/quotalender.cpp
+++ b/packages/daemon/src/quota/quotalender.cpp
@@ -149,7 +149,7 @@
     m_nextSweep = now + SWEEP_INTERVAL;
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         const bool used = entry->second->waiting > 0 || entry->second->borrowing;
-        const bool forgotten = !used && (entry->second->account.isForgettable(now) || !m_terms.isLender(entry->first));
+        const bool forgotten = !used && entry->second->account.isForgettable(now);
         entry = forgotten ? m_entries.erase(entry) : std::next(entry);
     }
 }
--- a/packages/decision/src/quotaaccount.cpp
+++ b/packages/decision/src/quotaaccount.cpp
@@ -69,7 +69,9 @@
 
 bool QuotaAccount::isForgettable(Millis now) const
 {
-    return now - m_usedAt > RETENTION && m_bucket.level(now) >= m_bucket.share().capacity;
+    const QuotaShare &share = m_bucket.share();
+    const bool refilled = share.refillPerMs <= 0 || m_bucket.level(now) >= share.capacity;
+    return refilled && now - m_usedAt > RETENTION;
 }
 
 } // namespace mustardpond
