Let a started lender fill no bucket in its first 2 s

It may not know the other members yet; when all hosts of a data centre restart, each would admit the whole share for that time. The tests of QuotaLender, quota_test and quotamove_test pass.

--- a/packages/daemon/src/quota/quotalender.cpp
+++ b/packages/daemon/src/quota/quotalender.cpp
@@ -15,6 +15,9 @@
 constexpr Millis ROUND_INTERVAL{100}; ///< after a round without a token
 constexpr Millis SWEEP_INTERVAL{10000};
 constexpr Millis REPORT_INTERVAL{1000};
+/// In which a process that has started may not know the other members yet. When all hosts of a data centre restart,
+/// each would admit the whole share for this time.
+constexpr Millis JOINING_TIME{2000};
 constexpr unsigned MAX_GRANT = 1000; ///< tokens in one reply
 
 QuotaTolerance toleranceFrom(const QuotaSettings &settings)
@@ -31,7 +34,7 @@
     , m_settings(settings)
     , m_peers(context, clock, settings.bindAddress)
     , m_election(context, clock, m_peers)
-    , m_terms(settings.node, clock.now())
+    , m_terms(settings.node, clock.now() + JOINING_TIME)
 {
 }
 
--- a/packages/daemon/test/quotalender_test.cpp
+++ b/packages/daemon/test/quotalender_test.cpp
@@ -25,6 +25,13 @@
         setMembers({"a"});
         m_clock.advance(Millis(60000));
     }
+    void restart()
+    {
+        m_lender = std::make_unique<QuotaLender>(m_context, m_clock, m_settings);
+        m_lender->setOrganisations(
+            [this](const std::string &) { return std::make_shared<const Organisation>(m_organisation); });
+        setMembers({"a"});
+    }
     void setMembers(const std::vector<std::string> &nodes)
     {
         FleetView view;
@@ -74,6 +81,17 @@
     EXPECT_EQ(ask("vakif", 9).granted, 1U) << "a request that has not run used up the limit";
 }
 
+// When all hosts of a data centre restarted, each was the lender until it knew the others, and admitted the whole
+// share.
+TEST_F(QuotaLenderTest, AdmitsNothingByItselfUntilItMayKnowTheOthers)
+{
+    restart();
+    m_clock.advance(Millis(1999));
+    EXPECT_EQ(ask("vakif").granted, 0U);
+    m_clock.advance(Millis(111));
+    EXPECT_EQ(ask("vakif").granted, 1U);
+}
+
 // A host with an old configuration would go on lending by a limit that has been lowered.
 TEST_F(QuotaLenderTest, LendsNothingWithoutAProofOrForAnUnknownOrganisation)
 {
