--- a/packages/daemon/src/quota/quotalender.cpp
+++ b/packages/daemon/src/quota/quotalender.cpp
@@ -139,7 +139,7 @@
     } else {
         entry->account.setShare(share, now);
     }
-    const EntryPointer result = entry;
+    EntryPointer result = entry; // the reference may end with what is forgotten
     forgetUnused(now);
     return result;
 }
