--- a/packages/daemon/src/quota/quotalender.cpp
+++ b/packages/daemon/src/quota/quotalender.cpp
@@ -15,6 +15,9 @@
 constexpr Millis ROUND_INTERVAL{100}; ///< after a round without a token
 constexpr Millis SWEEP_INTERVAL{10000};
 constexpr Millis REPORT_INTERVAL{1000};
+/// In which a process that has started may not know the other members yet. When all hosts of a data centre restart,
+/// each would admit the whole share for this time.
+constexpr Millis JOINING_TIME{2000};
 constexpr unsigned MAX_GRANT = 1000; ///< tokens in one reply
 
 QuotaTolerance toleranceFrom(const QuotaSettings &settings)
@@ -31,7 +34,7 @@
     , m_settings(settings)
     , m_peers(context, clock, settings.bindAddress)
     , m_election(context, clock, m_peers)
-    , m_terms(settings.node, clock.now())
+    , m_terms(settings.node, clock.now() + JOINING_TIME)
 {
 }
 
@@ -136,7 +139,7 @@
     } else {
         entry->account.setShare(share, now);
     }
-    const EntryPointer result = entry;
+    EntryPointer result = entry; // the reference may end with what is forgotten
     forgetUnused(now);
     return result;
 }
@@ -149,7 +152,7 @@
     m_nextSweep = now + SWEEP_INTERVAL;
     for (auto entry = m_entries.begin(); entry != m_entries.end();) {
         const bool used = entry->second->waiting > 0 || entry->second->borrowing;
-        const bool forgotten = !used && (entry->second->account.isForgettable(now) || !m_terms.isLender(entry->first));
+        const bool forgotten = !used && entry->second->account.isForgettable(now);
         entry = forgotten ? m_entries.erase(entry) : std::next(entry);
     }
 }
