Make room in a full queue for organisations that have waited less

A gate's queue holds a few requests per slot (limits.waitingPerSlot). An organisation far over its share filled all places, and the others were turned away at the door, before fair queueing could serve them. A request that would be served before the last one of another organisation now takes its place; that one is answered as not run, and its router tries elsewhere or refuses. With one flow nothing is displaced.

--- a/packages/daemon/src/gate/slotscheduler.cpp
+++ b/packages/daemon/src/gate/slotscheduler.cpp
@@ -6,7 +6,15 @@
                                   const Yield &yield)
 {
     const std::uint64_t ticket = m_nextTicket++;
-    switch (queue->request(ticket, priority.deadline, priority.rank, priority.share)) {
+    const SlotDecision decision = queue->request(ticket, priority.deadline, priority.rank, priority.share);
+    if (const auto displaced = queue->takeDisplaced()) {
+        const auto waiter = m_waiters.find(*displaced);
+        if (waiter != m_waiters.end()) {
+            waiter->second->displaced = true;
+            waiter->second->timer.cancel();
+        }
+    }
+    switch (decision) {
     case SlotDecision::Granted:
         return SlotResult::Taken;
     case SlotDecision::Full:
@@ -24,7 +32,7 @@
         return SlotResult::Taken;
     }
     queue->cancel(ticket);
-    return SlotResult::Expired;
+    return waiter->displaced ? SlotResult::Full : SlotResult::Expired;
 }
 
 void SlotScheduler::cancel(std::uint64_t ticket)
--- a/packages/daemon/src/gate/slotscheduler.h
+++ b/packages/daemon/src/gate/slotscheduler.h
@@ -48,6 +48,7 @@
         }
         asio::steady_timer timer;
         bool granted = false;
+        bool displaced = false; ///< by a request that goes before it, as the queue was full
     };
 
     asio::io_context &m_context;
--- a/packages/decision/include/decision/fairqueue.h
+++ b/packages/decision/include/decision/fairqueue.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -70,6 +71,9 @@
     /// flow has received since it began to wait.
     double expectedAhead(const FairRequest &request) const;
 
+    /// Returns the waiting request of another flow that would be served last, if that is after a new one.
+    std::optional<std::uint64_t> lastBehind(const FairRequest &request) const;
+
     std::size_t size() const
     {
         return m_size;
@@ -96,6 +100,8 @@
     using Flows = std::map<std::string, Flow>;
 
     Flows::const_iterator nextFlow() const;
+    /// Returns the virtual start time that a request of the flow has behind those before it.
+    double tagOf(const Flow &flow, const FairRequest &request) const;
     /// Returns the weight to calculate with.
     double effectiveWeight(double weight) const;
     double virtualCost(const FairShare &share, double weight) const;
--- a/packages/decision/include/decision/slotqueue.h
+++ b/packages/decision/include/decision/slotqueue.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace mustardpond {
 
@@ -35,6 +36,12 @@
     /// are granted first within their rank, and must be answered by the owner.
     /// @param rank rank of the request that held the slot
     std::optional<std::uint64_t> release(int rank = INNER_CALL_RANK);
+    /// Returns the waiting ticket that the last call of request() has removed from a full queue, if any, since a
+    /// request of another organisation goes before it. The owner must answer it.
+    std::optional<std::uint64_t> takeDisplaced()
+    {
+        return std::exchange(m_displaced, std::nullopt);
+    }
     /// Removes a waiting ticket. Returns false when it is not waiting.
     bool cancel(std::uint64_t ticket);
     /// Changes the number of slots. Slots that become free are granted by grantNext().
@@ -69,6 +76,8 @@
     std::size_t guaranteedSlots() const;
     /// Whether the next slot goes to a caller's request.
     bool isCallersTurn();
+    /// Makes room in a full queue for a caller's request. Returns false if none that waits goes behind it.
+    bool displaceFor(const FairRequest &request);
     void countStart(int rank);
 
     std::size_t m_slots;
@@ -78,6 +87,7 @@
     bool m_grantedPastInnerCalls = false; ///< the last slot went to a caller's request while inner calls waited
     std::set<FairRequest> m_innerCalls; ///< waiting
     FairQueue m_callerRequests;
+    std::optional<std::uint64_t> m_displaced;
 };
 
 } // namespace mustardpond
--- a/packages/decision/src/fairqueue.cpp
+++ b/packages/decision/src/fairqueue.cpp
@@ -136,6 +136,31 @@
     return std::max(ahead, allAhead);
 }
 
+std::optional<std::uint64_t> FairQueue::lastBehind(const FairRequest &request) const
+{
+    const auto own = m_flows.find(request.share.flow);
+    double latest = own == m_flows.end() ? startOf(request.share) : tagOf(own->second, request);
+    std::optional<std::uint64_t> last;
+    for (const auto &[name, flow] : m_flows) {
+        const FairRequest &candidate = *flow.waiting.rbegin();
+        const double tag = tagOf(flow, candidate);
+        if (name != request.share.flow && tag > latest) {
+            latest = tag;
+            last = candidate.ticket;
+        }
+    }
+    return last;
+}
+
+double FairQueue::tagOf(const Flow &flow, const FairRequest &request) const
+{
+    double tag = flow.start;
+    for (auto waiting = flow.waiting.begin(); waiting != flow.waiting.end() && *waiting < request; ++waiting) {
+        tag += virtualCost(waiting->share, flow.weight);
+    }
+    return tag;
+}
+
 std::vector<FlowUse> FairQueue::waitingFlows() const
 {
     std::vector<FlowUse> uses;
--- a/packages/decision/src/slotqueue.cpp
+++ b/packages/decision/src/slotqueue.cpp
@@ -28,17 +28,27 @@
         }
         return SlotDecision::Granted;
     }
-    if (waiting() >= m_maxWaiting) {
+    FairRequest newcomer{rank, deadline, ticket, std::move(share)};
+    if (waiting() >= m_maxWaiting && !displaceFor(newcomer)) {
         return SlotDecision::Full;
     }
     if (rank == INNER_CALL_RANK) {
-        m_innerCalls.insert({rank, deadline, ticket, {}});
+        m_innerCalls.insert(std::move(newcomer));
     } else {
-        m_callerRequests.push({rank, deadline, ticket, std::move(share)});
+        m_callerRequests.push(std::move(newcomer));
     }
     return SlotDecision::Queued;
 }
 
+bool SlotQueue::displaceFor(const FairRequest &request)
+{
+    if (request.rank == INNER_CALL_RANK) {
+        return false;
+    }
+    m_displaced = m_callerRequests.lastBehind(request);
+    return m_displaced && m_callerRequests.remove(*m_displaced);
+}
+
 std::optional<std::uint64_t> SlotQueue::release(int rank)
 {
     std::size_t &count = rank == INNER_CALL_RANK ? m_runningInnerCalls : m_runningCallerRequests;
--- a/packages/decision/test/fairqueue_test.cpp
+++ b/packages/decision/test/fairqueue_test.cpp
@@ -16,6 +16,7 @@
 constexpr int CALLER_RANK = INNER_CALL_RANK + 1;
 constexpr int ORGANISATIONS = 21; ///< the first is the one that may send more than usual
 constexpr std::size_t SLOTS = 4;
+constexpr std::size_t WAITING = 10 * SLOTS; ///< places, as in deploy/settings.json
 constexpr double SERVICE_MS = 20;
 constexpr double USUAL_LOAD = 0.9; ///< of all slots, with every organisation at its usual rate
 constexpr Millis MAX_WAIT{300};
@@ -34,8 +35,8 @@
 {
 public:
     /// @param fair whether the queues know the organisations
-    Play(int queues, bool fair)
-        : m_queues(static_cast<std::size_t>(queues), SlotQueue(SLOTS, 10000))
+    Play(int queues, bool fair, std::size_t waiting = 10000)
+        : m_queues(static_cast<std::size_t>(queues), SlotQueue(SLOTS, waiting))
         , m_fair(fair)
     {
     }
@@ -115,11 +116,11 @@
 };
 
 /// Plays one organisation at a multiple of its usual rate against 20 others.
-Served serveHotOrganisation(double factor, bool fair, int queues = 1)
+Served serveHotOrganisation(double factor, bool fair, int queues = 1, std::size_t waiting = 10000)
 {
     const double capacity = static_cast<double>(SLOTS) * queues * 1000 / SERVICE_MS;
     const double usualRate = capacity * USUAL_LOAD / ORGANISATIONS;
-    Play play(queues, fair);
+    Play play(queues, fair, waiting);
     for (int organisation = 0; organisation < ORGANISATIONS; ++organisation) {
         play.add(organisation, usualRate * (organisation == 0 ? factor : 1));
     }
@@ -130,9 +131,10 @@
         served.others += parts[organisation] / (ORGANISATIONS - 1);
         served.leastOfOthers = std::min(served.leastOfOthers, parts[organisation]);
     }
-    ::testing::Test::RecordProperty(
-        "queues" + std::to_string(queues) + (fair ? "fair" : "unfair") + std::to_string(static_cast<int>(factor)),
-        std::to_string(served.hot) + " " + std::to_string(served.others) + " " + std::to_string(served.leastOfOthers));
+    ::testing::Test::RecordProperty("waiting" + std::to_string(waiting) + "queues" + std::to_string(queues)
+                                        + (fair ? "fair" : "unfair") + std::to_string(static_cast<int>(factor)),
+                                    std::to_string(served.hot) + " " + std::to_string(served.others) + " "
+                                        + std::to_string(served.leastOfOthers));
     return served;
 }
 
@@ -153,6 +155,16 @@
     EXPECT_LT(unfair.others, 0.95) << "the load does not show what fair queueing is for";
 }
 
+/// Guards against an organisation that fills the places for waiting requests, so that all others are turned away.
+TEST(FairQueueTest, HotOrganisationDoesNotKeepTheOthersOutOfAFullQueue)
+{
+    const Served usual = serveHotOrganisation(1, true, 1, WAITING);
+    const Served beside = serveHotOrganisation(7, true, 1, WAITING);
+    EXPECT_GE(beside.others, usual.others - MAX_LOSS);
+    EXPECT_GE(beside.hot, 0.25);
+    EXPECT_LT(serveHotOrganisation(7, false, 1, WAITING).others, 0.95);
+}
+
 /// Guards against a spread over several gates that undoes the shares.
 TEST(FairQueueTest, HotOrganisationAtSeveralQueuesCostsTheOthersNothing)
 {
