--- a/packages/decision/src/fairqueue.cpp
+++ b/packages/decision/src/fairqueue.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
-#include <limits>
 #include <tuple>
 
 namespace mustardpond {
--- a/packages/decision/test/fairqueue_test.cpp
+++ b/packages/decision/test/fairqueue_test.cpp
@@ -8,6 +8,8 @@
 #include <cmath>
 #include <map>
 #include <queue>
+#include <set>
+#include <tuple>
 
 namespace mustardpond {
 
@@ -189,6 +191,34 @@
     EXPECT_NEAR(served[1], 0.5, 0.03);
 }
 
+/// Guards against another order, or another estimate, where no organisations are configured.
+TEST(FairQueueTest, OneFlowKeepsTheOrderOfRankThenDeadline)
+{
+    SeededRandom random(5);
+    FairQueue queue;
+    std::set<std::tuple<int, double, std::uint64_t>> expected;
+    for (std::uint64_t ticket = 1; ticket <= 5000; ++ticket) {
+        FairRequest request = requestOf("", 0, ticket, 1 + 100 * random.uniform());
+        request.rank = CALLER_RANK + static_cast<int>(random.below(2));
+        request.deadline = Millis(static_cast<double>(random.below(50)));
+        const auto key = std::make_tuple(request.rank, request.deadline.value, ticket);
+        const auto ahead = std::distance(expected.begin(), expected.lower_bound(key));
+        ASSERT_EQ(queue.expectedAhead(request), static_cast<double>(ahead));
+        ASSERT_FALSE(queue.lastBehind(request));
+        queue.push(request);
+        expected.insert(key);
+        if (random.below(20) == 0) {
+            queue.remove(std::get<2>(*expected.rbegin()));
+            expected.erase(std::prev(expected.end()));
+        }
+        while (!expected.empty() && random.below(2) == 0) {
+            ASSERT_EQ(queue.front()->ticket, std::get<2>(*expected.begin()));
+            queue.pop();
+            expected.erase(expected.begin());
+        }
+    }
+}
+
 /// Guards against shares that do not follow weight and cost.
 TEST(FairQueueTest, SharesFollowWeightAndCost)
 {
