--- a/packages/decision/test/fairqueue_test.cpp
+++ b/packages/decision/test/fairqueue_test.cpp
@@ -8,6 +8,8 @@
 #include <cmath>
 #include <map>
 #include <queue>
+#include <set>
+#include <tuple>
 
 namespace mustardpond {
 
@@ -16,6 +18,7 @@
 constexpr int CALLER_RANK = INNER_CALL_RANK + 1;
 constexpr int ORGANISATIONS = 21; ///< the first is the one that may send more than usual
 constexpr std::size_t SLOTS = 4;
+constexpr std::size_t WAITING = 10 * SLOTS; ///< places, as in deploy/settings.json
 constexpr double SERVICE_MS = 20;
 constexpr double USUAL_LOAD = 0.9; ///< of all slots, with every organisation at its usual rate
 constexpr Millis MAX_WAIT{300};
@@ -34,8 +37,8 @@
 {
 public:
     /// @param fair whether the queues know the organisations
-    Play(int queues, bool fair)
-        : m_queues(static_cast<std::size_t>(queues), SlotQueue(SLOTS, 10000))
+    Play(int queues, bool fair, std::size_t waiting = 10000)
+        : m_queues(static_cast<std::size_t>(queues), SlotQueue(SLOTS, waiting))
         , m_fair(fair)
     {
     }
@@ -115,11 +118,11 @@
 };
 
 /// Plays one organisation at a multiple of its usual rate against 20 others.
-Served serveHotOrganisation(double factor, bool fair, int queues = 1)
+Served serveHotOrganisation(double factor, bool fair, int queues = 1, std::size_t waiting = 10000)
 {
     const double capacity = static_cast<double>(SLOTS) * queues * 1000 / SERVICE_MS;
     const double usualRate = capacity * USUAL_LOAD / ORGANISATIONS;
-    Play play(queues, fair);
+    Play play(queues, fair, waiting);
     for (int organisation = 0; organisation < ORGANISATIONS; ++organisation) {
         play.add(organisation, usualRate * (organisation == 0 ? factor : 1));
     }
@@ -130,9 +133,10 @@
         served.others += parts[organisation] / (ORGANISATIONS - 1);
         served.leastOfOthers = std::min(served.leastOfOthers, parts[organisation]);
     }
-    ::testing::Test::RecordProperty(
-        "queues" + std::to_string(queues) + (fair ? "fair" : "unfair") + std::to_string(static_cast<int>(factor)),
-        std::to_string(served.hot) + " " + std::to_string(served.others) + " " + std::to_string(served.leastOfOthers));
+    ::testing::Test::RecordProperty("waiting" + std::to_string(waiting) + "queues" + std::to_string(queues)
+                                        + (fair ? "fair" : "unfair") + std::to_string(static_cast<int>(factor)),
+                                    std::to_string(served.hot) + " " + std::to_string(served.others) + " "
+                                        + std::to_string(served.leastOfOthers));
     return served;
 }
 
@@ -153,6 +157,16 @@
     EXPECT_LT(unfair.others, 0.95) << "the load does not show what fair queueing is for";
 }
 
+/// Guards against an organisation that fills the places for waiting requests, so that all others are turned away.
+TEST(FairQueueTest, HotOrganisationDoesNotKeepTheOthersOutOfAFullQueue)
+{
+    const Served usual = serveHotOrganisation(1, true, 1, WAITING);
+    const Served beside = serveHotOrganisation(7, true, 1, WAITING);
+    EXPECT_GE(beside.others, usual.others - MAX_LOSS);
+    EXPECT_GE(beside.hot, 0.25);
+    EXPECT_LT(serveHotOrganisation(7, false, 1, WAITING).others, 0.95);
+}
+
 /// Guards against a spread over several gates that undoes the shares.
 TEST(FairQueueTest, HotOrganisationAtSeveralQueuesCostsTheOthersNothing)
 {
@@ -177,6 +191,34 @@
     EXPECT_NEAR(served[1], 0.5, 0.03);
 }
 
+/// Guards against another order, or another estimate, where no organisations are configured.
+TEST(FairQueueTest, OneFlowKeepsTheOrderOfRankThenDeadline)
+{
+    SeededRandom random(5);
+    FairQueue queue;
+    std::set<std::tuple<int, double, std::uint64_t>> expected;
+    for (std::uint64_t ticket = 1; ticket <= 5000; ++ticket) {
+        FairRequest request = requestOf("", 0, ticket, 1 + 100 * random.uniform());
+        request.rank = CALLER_RANK + static_cast<int>(random.below(2));
+        request.deadline = Millis(static_cast<double>(random.below(50)));
+        const auto key = std::make_tuple(request.rank, request.deadline.value, ticket);
+        const auto ahead = std::distance(expected.begin(), expected.lower_bound(key));
+        ASSERT_EQ(queue.expectedAhead(request), static_cast<double>(ahead));
+        ASSERT_FALSE(queue.lastBehind(request));
+        queue.push(request);
+        expected.insert(key);
+        if (random.below(20) == 0) {
+            queue.remove(std::get<2>(*expected.rbegin()));
+            expected.erase(std::prev(expected.end()));
+        }
+        while (!expected.empty() && random.below(2) == 0) {
+            ASSERT_EQ(queue.front()->ticket, std::get<2>(*expected.begin()));
+            queue.pop();
+            expected.erase(expected.begin());
+        }
+    }
+}
+
 /// Guards against shares that do not follow weight and cost.
 TEST(FairQueueTest, SharesFollowWeightAndCost)
 {
