Read streamed bodies in pieces of up to 64 KB again

The capacity is reserved now, and half a piece is enough. regionbytes_test and upload_test pass, the latter in 19 s (-O0, load average 18).

--- a/packages/daemon/src/router/callerbody.cpp
+++ b/packages/daemon/src/router/callerbody.cpp
@@ -27,7 +27,7 @@
     , m_hold(hold)
     , m_limits(limits)
     , m_pace(limits.minBytesPerSecond, limits.stallTime)
-    , m_pieceBytes(FIRST_PIECE_BYTES)
+    , m_pieceBytes(std::clamp(buffer.limit(), FIRST_PIECE_BYTES, MAX_PIECE_BYTES))
 {
     m_parser.eager(true); // one call for all chunks in the buffer; chunks of one byte cost a read each otherwise
 }
@@ -100,7 +100,7 @@
         timeout = m_streaming ? std::min(m_limits.idleTimeout, m_pace.timeLeft()) : timeout;
     }
     const std::size_t received = size - body.size;
-    if (received == size) {
+    if (2 * received >= size) {
         m_pieceBytes = std::min(2 * m_pieceBytes, MAX_PIECE_BYTES);
     }
     return received;
--- a/packages/daemon/src/router/readbuffer.cpp
+++ b/packages/daemon/src/router/readbuffer.cpp
@@ -6,15 +6,14 @@
 
 bool ReadBuffer::grow(std::size_t bytes, std::size_t expected, const Yield &yield)
 {
-    if (bytes <= m_limit) {
-        return true;
+    if (bytes > m_limit) {
+        if (!m_hold.take(bytes - m_limit, expected, yield)) {
+            return false;
+        }
+        m_limit = bytes;
+        m_buffer.max_size(m_limit);
     }
-    if (!m_hold.take(bytes - m_limit, expected, yield)) {
-        return false;
-    }
-    m_limit = bytes;
-    m_buffer.max_size(m_limit);
-    m_buffer.reserve(m_limit); // one allocation; reading would enlarge it in steps
+    m_buffer.reserve(bytes); // Beast reads at most the capacity at a time
     return true;
 }
 
--- a/packages/daemon/src/router/readbuffer.h
+++ b/packages/daemon/src/router/readbuffer.h
@@ -41,7 +41,7 @@
     {
         return m_limit - FREE_BYTES;
     }
-    /// Allows the buffer to hold so many bytes. Returns false if the budget has no room for them.
+    /// Allows the buffer to hold so many bytes and reserves them. Returns false if the budget has no room for them.
     bool grow(std::size_t bytes, std::size_t expected, const Yield &yield);
     /// Frees what unread bytes do not need.
     void shrink();
