--- a/packages/config/test/objects_test.cpp
+++ b/packages/config/test/objects_test.cpp
@@ -89,6 +89,24 @@
     EXPECT_THROW(checkObject({"klass", "lookup", 0, false, text}), InvalidField);
 }
 
+// A host with less memory than the default must get a smaller budget for bodies without a setting of its own.
+TEST(DaemonSettingsTest, DerivesTheBodyBudgetFromTheMemory)
+{
+    const auto limitsOf = [](const std::string &limits) {
+        return parseDaemonSettings(R"({"node":"n","region":"r","dataCentre":"d","caller":"127.0.0.1:1",
+            "inner":"127.0.0.1:2","local":"127.0.0.1:3","platform":"127.0.0.1:4","limits":)"
+                                       + limits + "}",
+                                   "node.json")
+            .limits;
+    };
+    EXPECT_EQ(limitsOf("{}").bodyBudget(), 64 * MIB);
+    EXPECT_EQ(limitsOf(R"({"memoryMb":160})").bodyBudget(), 40 * MIB);
+    const DaemonLimits given = limitsOf(R"({"bodyBudgetBytes":1000000,"bodyMinBytesPerSecond":5,"bodyStallMs":200})");
+    EXPECT_EQ(given.bodyBudget(), 1000000U);
+    EXPECT_EQ(given.bodyMinBytesPerSecond, 5);
+    EXPECT_EQ(given.bodyStallTime, Millis(200));
+}
+
 } // namespace
 
 } // namespace mustardpond
--- a/packages/daemon/test/gatepool_test.cpp
+++ b/packages/daemon/test/gatepool_test.cpp
@@ -46,6 +46,24 @@
     EXPECT_FALSE(isReused(Millis(20), Millis(60)));
 }
 
+// With many gates, idle connections took the descriptors that callers and requests need.
+TEST_F(GatePoolTest, BoundsTheIdleConnectionsToAllGates)
+{
+    asio::spawn(m_context, [&](const Yield &yield) {
+        GatePool pool(m_context, "");
+        pool.setMaxChannels(2);
+        for (const char *gate : {"a", "b", "c", "c"}) {
+            pool.release(gate, pool.connect(m_address, Millis(1000), yield));
+        }
+        EXPECT_EQ(pool.idleChannels(), 2U);
+        pool.drop("a");
+        EXPECT_EQ(pool.idleChannels(), 1U);
+        EXPECT_TRUE(pool.acquireIdle("b"));
+        EXPECT_EQ(pool.idleChannels(), 0U);
+    });
+    m_context.run();
+}
+
 } // namespace
 
 } // namespace mustardpond
