--- a/packages/membership/test/proofexchange_test.cpp
+++ b/packages/membership/test/proofexchange_test.cpp
@@ -84,7 +84,7 @@
     fleet.run(Millis(10000));
     fleet.at("a0").publishObject({"class", "lookup", 5, false, "{}"});
     fleet.run(Millis(50000));
-    EXPECT_EQ(fleet.bytes(), 528884U);
+    EXPECT_EQ(fleet.bytes(), 524616U);
 }
 
 TEST_F(ProofExchangeTest, AllMembersServeWhileTheStoreAnswersTheWatchers)
