Answer 502 at once for a status of no class and for an early answer that is reset

What callers saw: an upstream's status 000 was dropped like an interim answer, and the caller got 504 after its whole time. An upstream that answered an upload early, without a length, and reset the connection left a caller that paused without an answer until the upload's timeout.

Cause: every status below 200 counted as interim. While the caller pauses, the gate neither reads from the upstream nor writes to it, and the router only waits for the caller.

Change: a status outside 100 to 599 fails the exchange. The gate watches the upstream's connection for a reset while it relays an upload, and answers; the router watches its gate while it waits for the caller's next piece.

--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -3,6 +3,7 @@
 #include "bodydigest.h"
 #include "crashwatch.h"
 #include "httprules.h"
+#include "resetwatch.h"
 #include "silencewatch.h"
 
 #include "decision/resend.h"
@@ -394,20 +395,44 @@
 void GateRun::relayUpload(UpstreamExchange &exchange, const Yield &yield)
 {
     StreamDigest digest;
-    for (bool last = false; !last;) {
-        const auto chunk = m_channel.receiveFor<wire::BodyChunkT>(m_request.request, CHANNEL_TIMEOUT, yield);
-        digest.add(chunk.body.data(), chunk.body.size());
-        last = chunk.last;
-        if (last && digest.value() != chunk.digest) {
+    bool reset = false;
+    const ResetWatch watch(exchange.socket(), [this, &reset] {
+        reset = true;
+        ErrorCode ignored;
+        m_channel.socket().cancel(ignored);
+    });
+    for (bool last = false; !last && !reset;) {
+        const auto chunk = receiveChunk(reset, yield);
+        if (!chunk) {
+            break;
+        }
+        digest.add(chunk->body.data(), chunk->body.size());
+        last = chunk->last;
+        if (last && digest.value() != chunk->digest) {
             throw BadFrame("an upload does not match its digest: check the link between the daemons");
         }
-        exchange.sendBody(std::string(toText(chunk.body)), last, exchangeTimeout(), yield);
+        exchange.sendBody(std::string(toText(chunk->body)), last, exchangeTimeout(), yield);
+    }
+    if (reset) {
+        exchange.onReset();
     }
     m_streamedPlace.reset();
     // Until now the upstream waited for the caller, which must not look like a run that hangs.
     m_gate.trustOf(m_servedBy).onStart(m_runNumber, m_request.workClass, m_gate.clock.now());
 }
 
+std::optional<wire::BodyChunkT> GateRun::receiveChunk(const bool &reset, const Yield &yield)
+{
+    try {
+        return m_channel.receiveFor<wire::BodyChunkT>(m_request.request, CHANNEL_TIMEOUT, yield);
+    } catch (const boost::system::system_error &) {
+        if (!reset) {
+            throw;
+        }
+        return std::nullopt;
+    }
+}
+
 void GateRun::receiveAnswer(UpstreamExchange &exchange, const Yield &yield)
 {
     const AnswerClassification classification = receiveHead(exchange, yield);
--- a/packages/daemon/src/gate/gaterun.h
+++ b/packages/daemon/src/gate/gaterun.h
@@ -49,7 +49,10 @@
     Millis silenceTimeout() const;
     bool mayRetryIfSilent() const;
     void sendRequest(UpstreamExchange &exchange, const Yield &yield);
+    /// Sends the body on as it arrives. Ends early if the upstream resets the connection, also while the caller pauses.
     void relayUpload(UpstreamExchange &exchange, const Yield &yield);
+    /// Returns nothing if the upstream has reset the connection meanwhile.
+    std::optional<wire::BodyChunkT> receiveChunk(const bool &reset, const Yield &yield);
     void receiveAnswer(UpstreamExchange &exchange, const Yield &yield);
     /// Receives heads until one does not belong to another request.
     AnswerClassification receiveHead(UpstreamExchange &exchange, const Yield &yield);
--- a/packages/daemon/src/gate/upstreamclient.cpp
+++ b/packages/daemon/src/gate/upstreamclient.cpp
@@ -70,8 +70,9 @@
         if (hasUnclearFraming(head, head.version())) {
             throw boost::system::system_error(http::error::bad_transfer_encoding);
         }
-        if (head.result() == http::status::switching_protocols) {
-            throw boost::system::system_error(http::error::bad_status); // no request asks for it
+        // No request asks for 101. Taken for an interim answer, status 000 would hold the caller until its deadline.
+        if (head.result() == http::status::switching_protocols || !isValidStatus(head.result_int())) {
+            throw boost::system::system_error(http::error::bad_status);
         }
         if (!isInterim(head.result_int())) {
             return;
--- a/packages/daemon/src/gate/upstreamclient.h
+++ b/packages/daemon/src/gate/upstreamclient.h
@@ -29,7 +29,7 @@
     /// be read. Later calls then send nothing.
     void sendBody(const std::string &chunk, bool last, Millis timeout, const Yield &yield);
     /// Receives the head of the final answer. Interim answers (1xx) before it are dropped, as callers that need one
-    /// have had it from their router; too many of them fail, as does 101.
+    /// have had it from their router; too many of them fail, as do 101 and a status outside 100 to 599.
     void receiveHead(Millis timeout, const Yield &yield);
     /// Appends up to limit bytes of the answer's body. Returns false when the body has ended. Fails if the end of the
     /// connection marks the end of the body and the connection was reset.
@@ -58,6 +58,15 @@
     }
     /// Closes the connection; pending calls fail.
     void close();
+    tcp::socket &socket()
+    {
+        return m_stream->socket();
+    }
+    /// Records that the upstream has reset the connection. Nothing more is sent; what came before can still be read.
+    void onReset()
+    {
+        m_connectionReset = true;
+    }
     std::unique_ptr<beast::tcp_stream> releaseStream()
     {
         return std::move(m_stream);
--- a/packages/daemon/src/messagehead.cpp
+++ b/packages/daemon/src/messagehead.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr unsigned HTTP_1_1 = 11;
+constexpr unsigned MIN_STATUS = 100;
+constexpr unsigned MAX_STATUS = 599;
 constexpr unsigned FIRST_FINAL_STATUS = 200;
 
 } // namespace
@@ -33,6 +35,11 @@
     return {};
 }
 
+bool isValidStatus(unsigned status)
+{
+    return status >= MIN_STATUS && status <= MAX_STATUS;
+}
+
 bool isInterim(unsigned status)
 {
     return status < FIRST_FINAL_STATUS;
--- a/packages/daemon/src/messagehead.h
+++ b/packages/daemon/src/messagehead.h
@@ -16,6 +16,8 @@
 /// @param version 10 or 11
 std::string problemOfRequestHead(const http::fields &fields, unsigned version);
 
+/// Whether the status belongs to one of the classes that HTTP defines.
+bool isValidStatus(unsigned status);
 /// Whether an answer with this status precedes the final one.
 bool isInterim(unsigned status);
 
--- a/packages/daemon/src/router/callerbody.h
+++ b/packages/daemon/src/router/callerbody.h
@@ -30,6 +30,10 @@
     /// Appends to the body until it is complete or has the given size.
     void readStart(std::vector<std::uint8_t> &body, std::size_t size, const Yield &yield);
     bool next(std::vector<std::uint8_t> &piece, const Yield &yield) override;
+    void interrupt() override
+    {
+        m_stream.cancel();
+    }
     /// Whether reading failed since a streamed body came too slowly.
     bool isStalled() const
     {
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -678,6 +678,9 @@
         }
     }
     receiveAnswer(run, yield);
+    if (run.attempt.bodyCut && !run.attempt.answer.streamed) {
+        channel.close(); // the gate still expects the rest of the body
+    }
 }
 
 void Dispatch::receiveAnswer(Run &run, const Yield &yield)
@@ -765,7 +768,10 @@
         } else {
             start = {};
             startSent = 0;
-            more = m_request.source->next(piece, yield);
+            if (!readPiece(channel, piece, more, yield)) {
+                attempt.bodyCut = true;
+                return;
+            }
         }
         digest.add(piece.data(), piece.size());
         wire::BodyChunkT chunk;
@@ -778,6 +784,25 @@
     }
 }
 
+bool Dispatch::readPiece(FrameChannel &channel, std::vector<std::uint8_t> &piece, bool &more, const Yield &yield)
+{
+    // A gate answers early only if its upstream has failed, and the caller may pause for long.
+    bool answered = false;
+    const AnswerWatch watch(&channel, [this, &answered] {
+        answered = true;
+        m_request.source->interrupt();
+    });
+    try {
+        more = m_request.source->next(piece, yield);
+        return true;
+    } catch (const boost::system::system_error &) {
+        if (!answered) {
+            throw;
+        }
+        return false;
+    }
+}
+
 void Dispatch::reportAttempt(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt,
                              Millis startedAt)
 {
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -109,6 +109,7 @@
         bool slow = false; ///< goes on, but has taken so long that a replacement is looked for
         bool withdrawn = false; ///< ended before the request was sent, which says nothing about the gate
         std::string cause; ///< of the failure, as text
+        bool bodyCut = false; ///< the gate has answered before the whole body was sent
         bool silent = false; ///< given up because no answer began on a reused connection
     };
 
@@ -191,6 +192,8 @@
     /// Closes and reports the slow attempt, if there is one.
     void endSlowRun();
     void sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield);
+    /// Reads the next piece of a streamed body. Returns false if the gate answers first.
+    bool readPiece(FrameChannel &channel, std::vector<std::uint8_t> &piece, bool &more, const Yield &yield);
     void reportAttempt(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt, Millis startedAt);
     void closeOperation(const std::string &gate, const Yield &yield);
     /// Whether the request is suspected of crashing upstreams.
--- a/packages/daemon/test/upstreamclient_test.cpp
+++ b/packages/daemon/test/upstreamclient_test.cpp
@@ -214,6 +214,27 @@
     EXPECT_EQ(errorOfAnswer(), http::error::bad_status);
 }
 
+// Status 000 was dropped like an interim answer, and the caller was held until its deadline.
+TEST_F(UpstreamClientTest, StatusOfNoClassFailsAtOnce)
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        startUpstream("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok", End::Keep);
+        EXPECT_EQ(errorOfAnswer(), http::error::bad_status) << status;
+        m_peer.close();
+        m_context.restart();
+    }
+}
+
+TEST_F(UpstreamClientTest, StatusOfOtherThanThreeDigitsFails)
+{
+    for (const std::string status : {"", "2", "20", "2000", "2x0", "-20"}) {
+        startUpstream("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok", End::Keep);
+        EXPECT_TRUE(errorOfAnswer()) << status;
+        m_peer.close();
+        m_context.restart();
+    }
+}
+
 TEST_F(UpstreamClientTest, AnswerWithUnclearFramingFails)
 {
     startUpstream("HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\nok", End::Close);
