Close expired idle channels; never evict while an upstream is at work

A channel to a gate that is not asked again stayed idle for good and could take the room of others'. A streamed response whose upstream still sends could be evicted while its caller read nothing for 1 s.

--- a/packages/daemon/src/router/answerstream.cpp
+++ b/packages/daemon/src/router/answerstream.cpp
@@ -26,12 +26,14 @@
 
 using Serializer = http::response_serializer<http::buffer_body>;
 
-/// Writes a part of a body. While the caller does not take it, it may be evicted from the byte budget.
+/// Writes a part of a body.
+/// @param last whether nothing more comes from the upstream: the caller may be evicted from the byte budget then
+/// while it does not take the part, but not while an upstream is at work for it
 void writePart(beast::tcp_stream &caller, BodyHold &hold, http::response<http::buffer_body> &head,
                Serializer &serializer, std::vector<std::uint8_t> &part, bool last, const Yield &yield)
 {
     hold.charge(part.size());
-    hold.setEvictable(true);
+    hold.setEvictable(last);
     std::size_t written = 0;
     do {
         const std::size_t size = std::min(PIECE_BYTES, part.size() - written);
--- a/packages/daemon/src/router/gatepool.cpp
+++ b/packages/daemon/src/router/gatepool.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t MAX_IDLE_PER_GATE = 32;
+constexpr Millis EXPIRY_INTERVAL{1000}; ///< at least, between two searches for channels that were idle for too long
 
 } // namespace
 
@@ -53,13 +54,26 @@
     const Millis now = m_clock.now();
     idle.push_back({std::move(channel), now});
     ++m_channels;
-    while (!idle.empty()
-           && (idle.size() > MAX_IDLE_PER_GATE || m_channels > m_maxChannels || now - idle.front().since > m_maxIdle)) {
+    if (m_channels > m_maxChannels && now - m_expiredAt > EXPIRY_INTERVAL) {
+        closeExpired(now);
+    }
+    while (!idle.empty() && (idle.size() > MAX_IDLE_PER_GATE || m_channels > m_maxChannels)) {
         idle.pop_front();
         --m_channels;
     }
 }
 
+void GatePool::closeExpired(Millis now)
+{
+    m_expiredAt = now;
+    for (auto &[address, idle] : m_idle) {
+        while (!idle.empty() && now - idle.front().since > m_maxIdle) {
+            idle.pop_front();
+            --m_channels;
+        }
+    }
+}
+
 void GatePool::drop(const std::string &address)
 {
     const auto found = m_idle.find(address);
--- a/packages/daemon/src/router/gatepool.h
+++ b/packages/daemon/src/router/gatepool.h
@@ -49,6 +49,9 @@
     void drop(const std::string &address);
 
 private:
+    /// Closes channels that are not used again, so that they leave room for those to other gates.
+    void closeExpired(Millis now);
+
     asio::io_context &m_context;
     std::string m_bindAddress;
     struct IdleChannel {
@@ -58,6 +61,7 @@
 
     Millis m_maxIdle;
     std::size_t m_maxChannels = DEFAULT_MAX_CHANNELS;
+    Millis m_expiredAt; ///< last call of closeExpired()
     std::size_t m_channels = 0; ///< idle, to all gates
     SteadyClock m_clock;
     std::unordered_map<std::string, std::deque<IdleChannel>> m_idle;
