Relay a request for tokens to a lender that only its router cannot reach

What callers saw: while the path between a router and the lender of an organisation was cut, each request of the organisation at this router got 503, as the voters still reached the lender and nobody else may lend.

Change: the member that is asked next passes the request on to the lender, unless it is about to take its place. The test fails without the change: nothing is granted.

--- a/packages/daemon/src/quota/lenderelection.cpp
+++ b/packages/daemon/src/quota/lenderelection.cpp
@@ -97,6 +97,12 @@
     return valid ? current->second.since : std::nullopt;
 }
 
+bool LenderElection::isSubstitutionOf(const std::string &lender) const
+{
+    const auto found = m_substitutions.find(lender);
+    return found != m_substitutions.end() && (found->second.voting || found->second.isValid(m_clock.now()));
+}
+
 void LenderElection::vote(const std::string &lender, const Yield &yield)
 {
     const Millis sentAt = m_clock.now();
--- a/packages/daemon/src/quota/lenderelection.h
+++ b/packages/daemon/src/quota/lenderelection.h
@@ -39,6 +39,8 @@
     /// Returns from when on this process may admit requests in place of a lender that no voter reaches; nothing while
     /// it may not.
     std::optional<Millis> substitutionOf(const std::string &lender, const Yield &yield);
+    /// Whether this process admits requests in place of the lender, or asks the voters whether it may.
+    bool isSubstitutionOf(const std::string &lender) const;
     /// Answers a question of another member's election (QuotaRequest with count 0).
     wire::QuotaReplyT answer(const wire::QuotaRequestT &question, const Yield &yield);
 
--- a/packages/daemon/src/quota/quotalender.cpp
+++ b/packages/daemon/src/quota/quotalender.cpp
@@ -12,6 +12,7 @@
 
 constexpr Millis LOAN_TIMEOUT{100}; ///< of each donor
 constexpr Millis LOAN_WAIT{100}; ///< of a request for a round; routers wait 150 ms for a reply
+constexpr Millis RELAY_TIMEOUT{50}; ///< leaves time for a vote if the lender does not answer
 constexpr Millis ROUND_INTERVAL{100}; ///< after a round without a token
 constexpr Millis SWEEP_INTERVAL{10000};
 constexpr Millis REPORT_INTERVAL{1000};
@@ -74,6 +75,8 @@
             reply.redirect = m_directory->addressOf(m_terms.lenderOf(organisation->name, lender));
             return reply;
         }
+    } else if (auto relayed = relay(request, yield)) {
+        return std::move(*relayed);
     } else {
         const auto substitute = m_election.substitutionOf(request.unreachable, yield);
         reply.unavailable = !substitute;
@@ -96,6 +99,22 @@
     return reply;
 }
 
+std::optional<wire::QuotaReplyT> QuotaLender::relay(const wire::QuotaRequestT &request, const Yield &yield)
+{
+    const std::string address = m_directory->addressOf(request.unreachable);
+    if (address.empty() || m_election.isSubstitutionOf(request.unreachable)) {
+        return std::nullopt;
+    }
+    wire::QuotaRequestT forwarded;
+    forwarded.organisation = request.organisation;
+    forwarded.count = request.count;
+    auto reply = m_peers.ask<wire::QuotaReplyT>(address, std::move(forwarded), RELAY_TIMEOUT, yield);
+    if (reply) {
+        reply->request = request.request;
+    }
+    return reply;
+}
+
 bool QuotaLender::mayLend(const std::string &organisation)
 {
     const bool majority = m_election.seesMajority();
--- a/packages/daemon/src/quota/quotalender.h
+++ b/packages/daemon/src/quota/quotalender.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -71,6 +72,8 @@
     };
     using EntryPointer = std::shared_ptr<Entry>;
 
+    /// Passes a request on to a lender that only its router cannot reach. Returns nothing if there is no reply.
+    std::optional<wire::QuotaReplyT> relay(const wire::QuotaRequestT &request, const Yield &yield);
     bool mayLend(const std::string &organisation);
     void reportUnavailable(const std::string &organisation, const char *cause);
     EntryPointer entryOf(const Organisation &organisation, Millis since);
--- a/packages/daemon/test/quotalender_test.cpp
+++ b/packages/daemon/test/quotalender_test.cpp
@@ -119,6 +119,48 @@
     }
 }
 
+// A router that lost only its path to the lender got 503 for each request of the organisation until the path was back.
+TEST_F(QuotaLenderTest, RelaysARequestToALenderThatItsRouterCannotReach)
+{
+    const std::vector<std::string> all = {"a", "b"};
+    while (firstLender(m_organisation.name, {all.begin(), all.end()}) != "b") {
+        m_organisation.name += "i";
+    }
+    tcp::acceptor acceptor(m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    FleetView view;
+    for (const std::string &node : all) {
+        Member member;
+        member.node = node;
+        member.dataCentre = m_settings.dataCentre;
+        member.inner = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+        view.members.push_back(member);
+    }
+    view.self = view.members.front();
+    m_lender->update(view);
+    asio::spawn(m_context, [this, &acceptor](const Yield &yield) {
+        tcp::socket socket(m_context);
+        acceptor.async_accept(socket, yield);
+        FrameChannel channel(std::move(socket));
+        const wire::FrameT frame = channel.receive(Millis(1000), yield);
+        ASSERT_NE(frame.body.AsQuotaRequest(), nullptr);
+        EXPECT_EQ(frame.body.AsQuotaRequest()->count, 3U);
+        wire::QuotaReplyT reply;
+        reply.request = frame.body.AsQuotaRequest()->request;
+        reply.granted = 3;
+        channel.send(packMessage(std::move(reply)), Millis(1000), yield);
+    });
+    wire::QuotaRequestT request;
+    request.request = 7;
+    request.organisation = m_organisation.name;
+    request.count = 3;
+    request.unreachable = "b";
+    wire::QuotaReplyT reply;
+    asio::spawn(m_context, [&](const Yield &yield) { reply = m_lender->lend(request, yield); });
+    m_context.run();
+    EXPECT_EQ(reply.granted, 3U);
+    EXPECT_EQ(reply.request, 7U);
+}
+
 // A host that was cut off from the others took over and lent.
 TEST_F(QuotaLenderTest, LendsNothingWhenMostOfTheDataCentreIsGone)
 {
