--- a/packages/config/include/config/daemonsettings.h
+++ b/packages/config/include/config/daemonsettings.h
@@ -32,6 +32,15 @@
     Millis operationLifetime{600000};
     Millis callerIdleTimeout{30000};
     Millis shutdownTimeout{30000}; ///< for requests in flight when the daemon is stopped
+    std::size_t memoryMb = 256; ///< of the host
+    std::size_t bodyBudgetBytes = 0; ///< for bodies, their buffers and responses; 0 for a quarter of the memory
+    double bodyMinBytesPerSecond = 1024; ///< of a streamed body, while the caller is waited for
+    Millis bodyStallTime{10000}; ///< over which a streamed body must keep to that
+
+    std::size_t bodyBudget() const
+    {
+        return bodyBudgetBytes > 0 ? bodyBudgetBytes : memoryMb * MIB / 4;
+    }
 };
 
 /// Which protocol is used with callers, upstreams and the platform: this project's own or the platform's.
@@ -64,6 +73,20 @@
     Millis window{10000};
 };
 
+/// How requests with keys of organisations are admitted. Takes effect if the configuration has organisations.
+struct KeySettings {
+    bool strict = false; ///< whether keys are accepted only with a recent proof that the configuration is the newest
+    Millis maxProofAge{5000};
+};
+
+/// Tolerance with which quotas of organisations hold over all daemons, in any window of the given length.
+struct QuotaSettings {
+    Millis window{5000};
+    double overage = 0; ///< share of the limit by which it may be exceeded
+    double slack = 0; ///< requests by which it may be exceeded in addition
+    std::vector<std::string> dataCentres; ///< each has an equal share; empty for the data centre of this daemon alone
+};
+
 struct DaemonSettings {
     std::string node;
     std::string region;
@@ -76,6 +99,8 @@
     std::optional<Endpoint> ready; ///< serves readiness in addition to the local address
     std::optional<Endpoint> metrics; ///< serves metrics in addition to the local address
     FleetRetryLimits retries;
+    KeySettings keys;
+    QuotaSettings quota;
     Endpoint caller; ///< where callers connect
     Endpoint inner; ///< where other daemons connect
     Endpoint advertisedInner; ///< announced to other daemons; differs from `inner` if the host is behind a relay
--- a/packages/config/src/daemonsettings.cpp
+++ b/packages/config/src/daemonsettings.cpp
@@ -13,9 +13,14 @@
 constexpr NumberRange HEAD_RANGE_BYTES{1024, 1048576};
 constexpr NumberRange LIFETIME_RANGE_MS{1000, 86400000};
 constexpr NumberRange DURATION_RANGE_MS{100, 3600000};
+constexpr NumberRange MEMORY_RANGE_MB{16, 1048576};
+constexpr NumberRange BUDGET_RANGE_BYTES{0, 1e12}; ///< 0 derives it from the memory
+constexpr NumberRange RATE_RANGE{0, 1e9};
 constexpr NumberRange DETECTION_COST_RANGE{0.001, 1000};
 constexpr NumberRange RETRY_SHARE_RANGE{0, 10};
 constexpr NumberRange RETRY_EXTRA_RANGE{0, 1000000};
+constexpr NumberRange OVERAGE_RANGE{0, 10};
+constexpr NumberRange SLACK_RANGE{0, 1000000};
 
 Endpoint endpoint(FieldReader &reader, const std::string &name)
 {
@@ -45,6 +50,26 @@
     return limits;
 }
 
+KeySettings keysFrom(FieldReader reader)
+{
+    KeySettings keys;
+    keys.strict = reader.flag("strict", keys.strict);
+    keys.maxProofAge = Millis(reader.number("maxProofAgeMs", DURATION_RANGE_MS, keys.maxProofAge.value));
+    reader.rejectUnknownFields();
+    return keys;
+}
+
+QuotaSettings quotaFrom(FieldReader reader)
+{
+    QuotaSettings quota;
+    quota.window = Millis(reader.number("windowMs", DURATION_RANGE_MS, quota.window.value));
+    quota.overage = reader.number("overage", OVERAGE_RANGE, quota.overage);
+    quota.slack = reader.number("slack", SLACK_RANGE, quota.slack);
+    quota.dataCentres = reader.texts("dataCentres");
+    reader.rejectUnknownFields();
+    return quota;
+}
+
 DaemonLimits limitsFrom(FieldReader reader)
 {
     DaemonLimits limits;
@@ -62,6 +87,10 @@
     limits.operationLifetime = time("operationLifetimeMs", LIFETIME_RANGE_MS, limits.operationLifetime);
     limits.callerIdleTimeout = time("callerIdleMs", DURATION_RANGE_MS, limits.callerIdleTimeout);
     limits.shutdownTimeout = time("stopGraceMs", DURATION_RANGE_MS, limits.shutdownTimeout);
+    limits.memoryMb = count("memoryMb", MEMORY_RANGE_MB, limits.memoryMb);
+    limits.bodyBudgetBytes = count("bodyBudgetBytes", BUDGET_RANGE_BYTES, limits.bodyBudgetBytes);
+    limits.bodyMinBytesPerSecond = reader.number("bodyMinBytesPerSecond", RATE_RANGE, limits.bodyMinBytesPerSecond);
+    limits.bodyStallTime = time("bodyStallMs", DURATION_RANGE_MS, limits.bodyStallTime);
     reader.rejectUnknownFields();
     return limits;
 }
@@ -120,6 +149,12 @@
     if (reader.has("retries")) {
         settings.retries = retriesFrom(reader.object("retries"));
     }
+    if (reader.has("keys")) {
+        settings.keys = keysFrom(reader.object("keys"));
+    }
+    if (reader.has("quota")) {
+        settings.quota = quotaFrom(reader.object("quota"));
+    }
     if (reader.has("limits")) {
         settings.limits = limitsFrom(reader.object("limits"));
     }
--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -4,6 +4,8 @@
 #include "foundation/errors.h"
 #include "foundation/events.h"
 #include "net/bodybuffer.h"
+#include "quotareport.h"
+#include "slotshares.h"
 
 #include <nlohmann/json.hpp>
 
@@ -125,7 +127,10 @@
     response.set(http::field::content_type, "application/json");
     if (request.target() == "/metrics") {
         response.set(http::field::content_type, "text/plain; version=0.0.4");
-        response.body() = m_router.metrics().exposition();
+        response.body() = m_router.metrics().exposition() + m_router.keyAdmission().exposition(m_clock.now());
+        if (m_router.quota()) {
+            response.body() += quotaExposition(*m_router.quota());
+        }
     } else if (request.target() == "/status") {
         response.body() = statusText();
     } else if (request.target() == "/config") {
@@ -206,6 +211,13 @@
     nlohmann::json document = {
         {"node", m_settings.node},       {"region", m_settings.region},     {"dataCentre", m_settings.dataCentre},
         {"configured", view.configured}, {"leaving", m_router.isLeaving()}, {"members", nlohmann::json::array()}};
+    if (m_router.keyAdmission().isStrict()) {
+        const auto &proof = m_router.keyAdmission().proof();
+        const auto age = m_router.proofAge();
+        document["proof"] = {{"ageMs", age ? nlohmann::json(age->value) : nlohmann::json()},
+                             {"version", proof ? proof->version : 0},
+                             {"acceptsKeys", m_router.acceptsKeys()}};
+    }
     for (const Member &member : view.members) {
         nlohmann::json upstreams = nlohmann::json::array();
         for (const UpstreamInfo &upstream : member.upstreams) {
@@ -229,6 +241,12 @@
                                        {"inner", member.inner},
                                        {"upstreams", upstreams}});
     }
+    if (const auto quotas = m_router.quota() ? quotaStatus(*m_router.quota()) : nullptr; !quotas.empty()) {
+        document["quotas"] = quotas;
+    }
+    if (const auto shares = slotSharesJson(m_gate.context().registry); !shares.empty()) {
+        document["slotShares"] = shares;
+    }
     return document.dump();
 }
 
--- a/packages/daemon/src/dialect/callerdialect.h
+++ b/packages/daemon/src/dialect/callerdialect.h
@@ -28,6 +28,7 @@
     std::string detail; ///< what happened, with a remedy
     Millis retryAfter; ///< delay before the caller may retry, if the request has not run
     bool timedOut = false; ///< the deadline passed before there was an answer
+    bool overQuota = false; ///< the request's organisation is over its limit
 };
 
 /// The origin of a forwarded answer.
@@ -44,6 +45,8 @@
     virtual bool isForRouter(beast::string_view name) const = 0;
     /// Returns the name of the field that carries the caller's service to an upstream; empty if there is none.
     virtual std::string callerField() const = 0;
+    /// Returns the name of the field that carries the organisation of the caller's key to an upstream.
+    virtual std::string organisationField() const = 0;
     /// Whether callers may open operations.
     virtual bool hasOperations() const = 0;
     virtual http::status statusOf(const RouterAnswer &answer) const = 0;
--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -3,6 +3,7 @@
 #include "bodydigest.h"
 #include "crashwatch.h"
 #include "httprules.h"
+#include "resetwatch.h"
 #include "silencewatch.h"
 
 #include "decision/resend.h"
@@ -69,9 +70,11 @@
     : m_gate(gate)
     , m_request(std::move(request))
     , m_channel(channel)
+    , m_bytes(gate.byteBudget)
     , m_fingerprint(requestFingerprint(m_request.method, m_request.target, m_request.body))
     , m_arrivedAt(gate.clock.now())
 {
+    m_bytes.add(m_request.body.size());
     m_deadline = m_arrivedAt + Millis(m_request.deadlineMs);
     if (!m_request.operation.empty()) {
         m_operation = parseOperationId(m_request.operation);
@@ -173,7 +176,7 @@
 {
     const std::string id = upstream.announced.id;
     const auto queue = upstream.queue;
-    const SlotPriority priority{INNER_CALL_RANK + 1, m_deadline};
+    const SlotPriority priority{INNER_CALL_RANK + 1, m_deadline, {}};
     switch (m_gate.slotScheduler.acquire(queue, priority, remaining(), yield)) {
     case SlotResult::Full:
         return answerNotRun(NotRunReason::Busy, "the upstream's queue is full", yield);
@@ -215,12 +218,15 @@
     }
     UpstreamFailureDetector &detector = m_gate.detectorOf(m_servedBy);
     const std::uint64_t number = ++m_gate.lastRunNumber;
+    m_runNumber = number;
     detector.onStart(number, m_request.workClass, m_startedAt);
-    m_gate.trustOf(m_servedBy).onStart(number, m_request.workClass, m_startedAt);
+    if (!m_request.streamed) {
+        m_gate.trustOf(m_servedBy).onStart(number, m_request.workClass, m_startedAt);
+    }
     m_gate.resendBudget.onFirstAttempt();
     try {
         exchange(upstream, number, yield);
-        detector.onFinish(number, m_result, m_gate.clock.now() - m_startedAt, m_gate.clock.now());
+        detector.onFinish(number, m_result, serviceTime(), m_gate.clock.now());
         updateTrust(number, m_result, m_broken);
         m_gate.quarantine.onCompleted(m_fingerprint, m_gate.clock.now());
         m_gate.client.release(address, *m_exchange);
@@ -234,7 +240,8 @@
         markOperationLost();
         throw;
     }
-    const bool callerMayBeAtFault = m_exchange->isCancelled() || m_request.streamed;
+    const bool readerAtFault = m_relay && m_relay->isReaderAtFault();
+    const bool callerMayBeAtFault = m_exchange->isCancelled() || m_request.streamed || readerAtFault;
     const AttemptResult result = callerMayBeAtFault ? AttemptResult::Unjudged : AttemptResult::Failed;
     detector.onFinish(number, result, Millis(), m_gate.clock.now());
     updateTrust(number, result, true);
@@ -388,14 +395,41 @@
 void GateRun::relayUpload(UpstreamExchange &exchange, const Yield &yield)
 {
     StreamDigest digest;
-    for (bool last = false; !last;) {
-        const auto chunk = m_channel.receiveFor<wire::BodyChunkT>(m_request.request, CHANNEL_TIMEOUT, yield);
-        digest.add(chunk.body.data(), chunk.body.size());
-        last = chunk.last;
-        if (last && digest.value() != chunk.digest) {
+    bool reset = false;
+    const ResetWatch watch(exchange.socket(), [this, &reset] {
+        reset = true;
+        ErrorCode ignored;
+        m_channel.socket().cancel(ignored);
+    });
+    for (bool last = false; !last && !reset;) {
+        const auto chunk = receiveChunk(reset, yield);
+        if (!chunk) {
+            break;
+        }
+        digest.add(chunk->body.data(), chunk->body.size());
+        last = chunk->last;
+        if (last && digest.value() != chunk->digest) {
             throw BadFrame("an upload does not match its digest: check the link between the daemons");
         }
-        exchange.sendBody(std::string(toText(chunk.body)), last, exchangeTimeout(), yield);
+        exchange.sendBody(std::string(toText(chunk->body)), last, exchangeTimeout(), yield);
+    }
+    if (reset) {
+        exchange.onReset();
+    }
+    m_streamedPlace.reset();
+    // Until now the upstream waited for the caller, which must not look like a run that hangs.
+    m_gate.trustOf(m_servedBy).onStart(m_runNumber, m_request.workClass, m_gate.clock.now());
+}
+
+std::optional<wire::BodyChunkT> GateRun::receiveChunk(const bool &reset, const Yield &yield)
+{
+    try {
+        return m_channel.receiveFor<wire::BodyChunkT>(m_request.request, CHANNEL_TIMEOUT, yield);
+    } catch (const boost::system::system_error &) {
+        if (!reset) {
+            throw;
+        }
+        return std::nullopt;
     }
 }
 
@@ -412,6 +446,7 @@
     while (more && body.size() < SMALL_ANSWER_BYTES) {
         more = exchange.receiveBody(body, CHUNK_BYTES, exchangeTimeout(), yield);
     }
+    m_bytes.add(body.size());
     wire::AnswerT answer = newAnswer(Outcome::Ran);
     answer.status = static_cast<std::uint16_t>(exchange.head().result_int());
     for (const auto &field : exchange.head()) {
@@ -483,7 +518,8 @@
     digest.add(body.data(), body.size());
     answer.streamed = true;
     answer.body = toBytes(body);
-    m_channel.send(packMessage(std::move(answer)), CHANNEL_TIMEOUT, yield);
+    m_relay.emplace(m_gate, RunRef{m_servedBy, m_runNumber}, m_channel);
+    m_relay->send(packMessage(std::move(answer)), std::min(CHANNEL_TIMEOUT, exchangeTimeout()), yield);
     for (bool more = true; more;) {
         body.clear();
         more = exchange.receiveBody(body, CHUNK_BYTES, exchangeTimeout(), yield);
@@ -493,7 +529,7 @@
         chunk.last = !more;
         chunk.digest = digest.value();
         chunk.body = toBytes(body);
-        m_channel.send(packMessage(std::move(chunk)), CHANNEL_TIMEOUT, yield);
+        m_relay->send(packMessage(std::move(chunk)), std::min(CHANNEL_TIMEOUT, exchangeTimeout()), yield);
     }
 }
 
@@ -564,6 +600,11 @@
     return answer;
 }
 
+Millis GateRun::serviceTime() const
+{
+    return m_gate.clock.now() - m_startedAt - (m_relay ? m_relay->waited() : Millis());
+}
+
 OperationBinding GateRun::binding() const
 {
     return {m_request.service, m_request.organisation, m_fingerprint};
--- a/packages/daemon/src/gate/gaterun.h
+++ b/packages/daemon/src/gate/gaterun.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "admission.h"
+#include "answerrelay.h"
+#include "bytecharge.h"
 #include "decision/outcome.h"
 #include "framechannel.h"
 #include "gatecontext.h"
@@ -22,6 +24,11 @@
     void run(const Yield &yield);
     /// Runs a request whose slot has been granted. The calling code holds the slot.
     void runReserved(Millis grantedAt, const Yield &yield);
+    /// Passes the place of a streamed body, which is returned once the body has arrived.
+    void setStreamedPlace(std::unique_ptr<StreamedSlots::Place> place)
+    {
+        m_streamedPlace = std::move(place);
+    }
 
 private:
     /// Answers an operation that must not run. Returns whether it did.
@@ -42,7 +49,10 @@
     Millis silenceTimeout() const;
     bool mayRetryIfSilent() const;
     void sendRequest(UpstreamExchange &exchange, const Yield &yield);
+    /// Sends the body on as it arrives. Ends early if the upstream resets the connection, also while the caller pauses.
     void relayUpload(UpstreamExchange &exchange, const Yield &yield);
+    /// Returns nothing if the upstream has reset the connection meanwhile.
+    std::optional<wire::BodyChunkT> receiveChunk(const bool &reset, const Yield &yield);
     void receiveAnswer(UpstreamExchange &exchange, const Yield &yield);
     /// Receives heads until one does not belong to another request.
     AnswerClassification receiveHead(UpstreamExchange &exchange, const Yield &yield);
@@ -72,12 +82,17 @@
     Millis remaining() const;
     /// Returns the time left for the exchange with the upstream. Throws boost::system::system_error if there is none.
     Millis exchangeTimeout() const;
+    /// Returns the time that the run has taken, without the waits for a caller that reads slowly.
+    Millis serviceTime() const;
     /// Cancels the exchange if the router closes the connection.
     void cancelOnDisconnect(const std::shared_ptr<UpstreamExchange> &exchange);
 
     GateContext &m_gate;
     wire::ProxyRequestT m_request;
     FrameChannel &m_channel;
+    ByteCharge m_bytes;
+    std::unique_ptr<StreamedSlots::Place> m_streamedPlace; ///< while a streamed body is still arriving
+    std::uint64_t m_runNumber = 0;
     std::optional<OperationId> m_operation;
     std::shared_ptr<UpstreamExchange> m_exchange;
     http::request<http::buffer_body> m_upstreamRequest;
@@ -90,6 +105,7 @@
     bool m_connectionLost = false; ///< the exchange failed with another error than a timeout
     AttemptResult m_result = AttemptResult::Unjudged;
     std::string m_servedBy;
+    std::optional<AnswerRelay> m_relay; ///< of a streamed answer
     std::optional<RunningRequestGuard> m_runningGuard; ///< while the upstream has the request
 };
 
--- a/packages/daemon/src/gate/slotscheduler.h
+++ b/packages/daemon/src/gate/slotscheduler.h
@@ -13,6 +13,7 @@
 struct SlotPriority {
     int rank = INNER_CALL_RANK; ///< lower ranks go first
     Millis deadline;
+    FairShare share; ///< disregarded for inner calls
 };
 
 enum class SlotResult : std::uint8_t { Taken, Full, Expired };
@@ -47,6 +48,7 @@
         }
         asio::steady_timer timer;
         bool granted = false;
+        bool displaced = false; ///< by a request that goes before it, as the queue was full
     };
 
     asio::io_context &m_context;
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -5,6 +5,7 @@
 #include "httprules.h"
 #include "regionbytecounter.h"
 #include "silencewatch.h"
+#include "slotshare.h"
 
 #include "decision/slotqueue.h"
 #include "decision/slowrun.h"
@@ -34,6 +35,7 @@
 constexpr int PROMPT_REFUSAL_ROUND = 5; ///< with prompt refusal, a request is refused after this round at the latest
 constexpr int MAX_REMOTE_GATES = 2; ///< gates in other regions that are contacted before the request may wait at one
 constexpr std::size_t LARGE_BODY_BYTES = 16 * KIB;
+constexpr std::size_t STREAM_PIECE_BYTES = 64 * KIB;
 constexpr Millis MIN_RETRY_AFTER{200};
 constexpr Millis GATE_RESPONSE_TIMEOUT{150}; ///< to connect or for the first frame, beyond the usual round trip
 constexpr Millis OTHER_REGION_ROUND_TRIP{30}; ///< to another region and back, with a margin for jitter
@@ -136,7 +138,9 @@
     constraints.includeUntrusted = mustServe();
     constraints.allowOtherRegions =
         m_remoteGatesAsked < (constraints.mayWait ? MAX_REMOTE_GATES + 1 : MAX_REMOTE_GATES);
-    constraints.largeBody = m_request.source || m_request.body.size() >= LARGE_BODY_BYTES;
+    const double answerBytes = m_shared.table.classAnswerBytes(m_request.service, m_request.workClass.name);
+    constraints.largeBody = m_request.source || m_request.body.size() + answerBytes >= LARGE_BODY_BYTES;
+    constraints.organisation = shareName(m_request.authenticated.get());
     const UpstreamRef *chosen = m_shared.table.place(m_request.service, m_request.workClass, m_tried, constraints, now);
     m_remoteGatesAsked += chosen && chosen->distance == Distance::OtherRegion ? 1 : 0;
     return chosen;
@@ -439,6 +443,7 @@
     run.start.upstream = ref.id;
     run.start.workClass = m_request.workClass.name;
     run.start.latencyTarget = m_request.workClass.latencyTarget;
+    run.start.organisation = shareName(m_request.authenticated.get());
     run.startedAt = m_shared.clock.now();
     const bool hasUpstream = !ref.id.empty();
     if (hasUpstream) {
@@ -499,7 +504,9 @@
         attempt.slow = true;
         return attempt;
     }
-    if (!run.ref.id.empty() && !m_callerLeft) {
+    if (!run.ref.id.empty() && m_callerLeft) {
+        m_shared.table.onAbandoned(m_request.service, run.start);
+    } else if (!run.ref.id.empty()) {
         reportAttempt(run.ref, run.start, run.attempt, run.startedAt);
     }
     return std::move(run.attempt);
@@ -633,6 +640,7 @@
                                                              : INNER_CALL_RANK + 1 + m_request.workClass.priority);
     reserve.deadlineMs = std::max(0.0, maxSlotWait().value);
     reserve.fingerprint = m_request.fingerprint;
+    setSlotShare(m_request.inner ? nullptr : m_request.authenticated.get(), reserve);
     const Millis now = m_shared.clock.now();
     const PeerBaseline peerBaseline = m_shared.table.peerBaseline(m_request.service, ref.id, m_request.workClass, now);
     reserve.badAboveMs = peerBaseline.slowThreshold.value;
@@ -643,6 +651,7 @@
         && (maxAttempts == 0 || static_cast<int>(m_sentTo.size()) + 1 < maxAttempts)
         && m_shared.table.retryBudget(m_request.service).hasRetry();
     reserve.mustServe = mustServe() || m_shared.table.mustServe(m_request.service, ref.id, m_request.workClass.name);
+    reserve.streamed = m_request.source != nullptr;
     return reserve;
 }
 
@@ -659,10 +668,9 @@
     const bool crossesRegions = run.ref.distance == Distance::OtherRegion;
     const RegionByteCounter counter(m_shared.metrics, m_request.organisation, channel, crossesRegions);
     const std::uint64_t number = run.start.attempt;
-    const std::string bytes = packMessage(message(run.ref, number));
     run.attempt.sent = true;
     m_sentTo.insert(run.ref.id);
-    channel.send(bytes, SEND_TIMEOUT, yield);
+    channel.send(packMessage(message(run.ref, number)), SEND_TIMEOUT, yield);
     if (m_request.source) {
         sendStream(channel, number, run.attempt, yield);
         if (run.attempt.answer.digest != 0) {
@@ -670,6 +678,9 @@
         }
     }
     receiveAnswer(run, yield);
+    if (run.attempt.bodyCut && !run.attempt.answer.streamed) {
+        channel.close(); // the gate still expects the rest of the body
+    }
 }
 
 void Dispatch::receiveAnswer(Run &run, const Yield &yield)
@@ -744,10 +755,23 @@
     }
     m_bodyConsumed = true;
     StreamDigest digest;
-    std::vector<std::uint8_t> piece = m_request.body;
+    // In small pieces, so that neither side needs room for the whole start of the body once more.
+    std::vector<std::uint8_t> start = std::move(m_request.body);
+    std::size_t startSent = 0;
+    std::vector<std::uint8_t> piece;
     for (bool more = true; more;) {
-        if (piece.empty()) {
-            more = m_request.source->next(piece, yield);
+        if (startSent < start.size()) {
+            const std::size_t end = std::min(startSent + STREAM_PIECE_BYTES, start.size());
+            piece.assign(start.begin() + static_cast<std::ptrdiff_t>(startSent),
+                         start.begin() + static_cast<std::ptrdiff_t>(end));
+            startSent = end;
+        } else {
+            start = {};
+            startSent = 0;
+            if (!readPiece(channel, piece, more, yield)) {
+                attempt.bodyCut = true;
+                return;
+            }
         }
         digest.add(piece.data(), piece.size());
         wire::BodyChunkT chunk;
@@ -760,6 +784,25 @@
     }
 }
 
+bool Dispatch::readPiece(FrameChannel &channel, std::vector<std::uint8_t> &piece, bool &more, const Yield &yield)
+{
+    // A gate answers early only if its upstream has failed, and the caller may pause for long.
+    bool answered = false;
+    const AnswerWatch watch(&channel, [this, &answered] {
+        answered = true;
+        m_request.source->interrupt();
+    });
+    try {
+        more = m_request.source->next(piece, yield);
+        return true;
+    } catch (const boost::system::system_error &) {
+        if (!answered) {
+            throw;
+        }
+        return false;
+    }
+}
+
 void Dispatch::reportAttempt(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt,
                              Millis startedAt)
 {
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "bodysource.h"
+#include "decision/organisation.h"
 #include "decision/outcome.h"
 #include "decision/quarantine.h"
 #include "gatepool.h"
@@ -24,6 +25,8 @@
     std::string service;
     WorkClass workClass;
     std::string organisation;
+    std::shared_ptr<const Organisation> authenticated; ///< by its key; null without one
+    bool keyRequired = false; ///< whether it is served only with a valid key
     std::string operation; ///< empty when the caller has opened none
     std::string id; ///< request id set by the caller; empty when there is none
     bool inner = false; ///< a call of an upstream on behalf of a request that it is running
@@ -48,6 +51,7 @@
     int gatesAsked = 0; ///< number of attempts, each at one gate
     bool timedOut = false; ///< the deadline has passed without an answer
     Millis retryAfter; ///< delay after which the caller may send a request again that has not run
+    bool overQuota = false; ///< not run since its organisation is over its limit
 };
 
 /// State and settings that all dispatches of a router share.
@@ -105,6 +109,7 @@
         bool slow = false; ///< goes on, but has taken so long that a replacement is looked for
         bool withdrawn = false; ///< ended before the request was sent, which says nothing about the gate
         std::string cause; ///< of the failure, as text
+        bool bodyCut = false; ///< the gate has answered before the whole body was sent
         bool silent = false; ///< given up because no answer began on a reused connection
     };
 
@@ -187,6 +192,8 @@
     /// Closes and reports the slow attempt, if there is one.
     void endSlowRun();
     void sendStream(FrameChannel &channel, std::uint64_t number, Attempt &attempt, const Yield &yield);
+    /// Reads the next piece of a streamed body. Returns false if the gate answers first.
+    bool readPiece(FrameChannel &channel, std::vector<std::uint8_t> &piece, bool &more, const Yield &yield);
     void reportAttempt(const UpstreamRef &ref, const AttemptStart &start, const Attempt &attempt, Millis startedAt);
     void closeOperation(const std::string &gate, const Yield &yield);
     /// Whether the request is suspected of crashing upstreams.
--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -1,11 +1,16 @@
 /// Accepts callers' connections and forwards each request to an upstream.
 #pragma once
 
+#include "bodybudget.h"
 #include "decision/burn.h"
 #include "decision/weightedroundrobin.h"
 #include "dialects.h"
 #include "dispatch.h"
+#include "keyadmission.h"
+#include "limitreport.h"
 #include "net/listener.h"
+#include "quotaclient.h"
+#include "refusedkeys.h"
 
 #include "foundation/kernel.h"
 
@@ -35,6 +40,16 @@
     {
         m_table.update(std::move(view));
     }
+    /// Limits the requests of organisations from now on.
+    void setQuota(std::unique_ptr<QuotaClient> quota)
+    {
+        m_quota = std::move(quota);
+    }
+    /// Returns null if requests are not limited.
+    QuotaClient *quota() const
+    {
+        return m_quota.get();
+    }
     void onSaturation(SaturationHandler handler)
     {
         m_onSaturation = std::move(handler);
@@ -86,6 +101,7 @@
     {
         m_settings.service = settings.service;
         m_settings.limits = settings.limits;
+        applyLimits();
     }
     /// Returns the service for the next request of a route, which may split its requests by weight.
     const std::string &nextServiceOf(const RouteObject &route);
@@ -117,6 +133,10 @@
     {
         return m_metrics;
     }
+    RefusedKeys &refusedKeys()
+    {
+        return m_refusedKeys;
+    }
     BurnMeter &burn()
     {
         return m_burn;
@@ -125,6 +145,30 @@
     {
         return m_dispatch;
     }
+    /// Whether requests with keys may be served: always unless the settings ask for a proof that the configuration is
+    /// the newest, and it has organisations. To be asked when the head has been read and again before dispatch, after
+    /// the key has been looked up in the view of that moment. keyAdmission().refuse() gives the answer otherwise.
+    bool acceptsKeys() const;
+    /// Returns the age of the proof that the configuration in force is the newest; nothing without one.
+    std::optional<Millis> proofAge() const;
+    KeyAdmission &keyAdmission()
+    {
+        return m_keyAdmission;
+    }
+    const KeyAdmission &keyAdmission() const
+    {
+        return m_keyAdmission;
+    }
+    BodyBudget &bodyBudget()
+    {
+        return m_bodyBudget;
+    }
+    /// Counts and logs that a limit has cost a caller its request or its connection.
+    void reportLimit(LimitCause cause)
+    {
+        m_metrics.addLimit(cause);
+        m_limitReport.report(cause, m_clock.now());
+    }
     /// Waits until a configuration has been received. Returns false when the timeout has passed without one, or when
     /// the router is leaving.
     bool waitForConfiguration(Millis timeout, const Yield &yield);
@@ -133,7 +177,12 @@
 
 private:
     void tick(const Yield &yield);
-    bool hasFreeConnection() const;
+    void applyLimits();
+    /// Returns how many callers' connections may be open.
+    std::size_t maxConnections() const;
+    /// Makes room for a new connection, if need be by closing the one that has been idle longest. Returns false if none
+    /// is idle.
+    bool makeRoom();
 
     asio::io_context &m_context;
     const Clock &m_clock;
@@ -142,13 +191,18 @@
     std::shared_ptr<const CallerDialect> m_dialect;
     std::map<std::string, WeightedRoundRobin> m_roundRobins; ///< by route
     RoutingTable m_table;
+    KeyAdmission m_keyAdmission;
     GatePool m_pool;
     Metrics m_metrics;
+    RefusedKeys m_refusedKeys{m_metrics};
     BurnMeter m_burn;
     std::uint64_t m_lastRequestNumber = 0;
     DispatchContext m_dispatch;
     std::shared_ptr<Listener> m_listener;
+    BodyBudget m_bodyBudget;
+    LimitReport m_limitReport;
     SaturationHandler m_onSaturation;
+    std::unique_ptr<QuotaClient> m_quota;
     std::set<CallerSession *> m_sessions;
     bool m_leaving = false;
     bool m_accepting = true;
--- a/packages/daemon/src/router/routingtable.h
+++ b/packages/daemon/src/router/routingtable.h
@@ -68,11 +68,17 @@
     /// @param networkTime time of the attempt outside service and queue
     void onFinish(const std::string &service, const AttemptStart &start, AttemptResult result, Millis serviceTime,
                   Millis networkTime, Millis now);
+    /// Forgets an attempt that was given up as its caller has left.
+    void onAbandoned(const std::string &service, const AttemptStart &start);
     void onLoad(const std::string &service, const std::string &upstream, const std::string &workClass,
                 const ReportedLoad &load);
 
     void onGateSuspicion(const std::string &service, const std::string &upstream, const std::string &workClass,
                          Millis now);
+    /// Records the size of an answer's body.
+    void onAnswerSize(const std::string &service, const std::string &workClass, std::uint64_t bytes);
+    /// Returns the usual size of the answers of a class of work at a service; zero when it is not known.
+    double classAnswerBytes(const std::string &service, const std::string &workClass) const;
     /// Returns the usual service time of a class of work at the upstreams of a service; zero when it is not known.
     Millis classServiceTime(const std::string &service, const std::string &workClass);
     /// Returns the baseline of the upstream's peers, to be sent to its gate with a request.
@@ -93,6 +99,7 @@
 private:
     struct UpstreamState {
         double running = 0; ///< attempts of this router
+        std::map<std::string, double> runningByOrganisation; ///< only those of authenticated organisations
         double reportedRequests = 0;
         double runningAtReport = 0;
         Millis reportedAt{-1e12};
@@ -105,13 +112,15 @@
         RetryBudget budget;
         std::unordered_map<std::string, UpstreamState> upstreams;
         std::map<std::string, Millis> classServiceTimes; ///< by class
+        std::map<std::string, double> classAnswerBytes; ///< smoothed, by class
     };
 
     ServiceState &stateOf(const std::string &service);
+    static void countEnd(UpstreamState &upstream, const AttemptStart &start);
     void updateService(const std::string &name, const std::vector<UpstreamRef> &upstreams);
     Candidate candidateFor(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass, Millis now);
     PlacementCandidate placementCandidateFor(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass,
-                                             Millis now);
+                                             const std::string &organisation, Millis now);
     void logChange(const std::string &service, const HealthChange &change) const;
 
     Detection m_detection;
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -41,9 +41,13 @@
     case Event::MemberDead:
     case Event::ObjectInvalid:
     case Event::StoreUnreachable:
+    case Event::KeysRefused:
     case Event::RefusalRequested:
     case Event::PeerRejected:
     case Event::AnswerDiscarded:
+    case Event::OrganisationLeftOut:
+    case Event::KeysLeftOut:
+    case Event::QuotaUnavailable:
         return true;
     default:
         return false;
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -1,5 +1,7 @@
 #include "membership/membership.h"
 
+#include "recordstamps.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -99,6 +101,7 @@
             probe(now, out);
         }
     }
+    askForProof(now, out);
     pushObjects(out);
     if (now >= m_nextRumour) {
         m_nextRumour = now + m_timings.rumourPeriod;
@@ -123,6 +126,9 @@
     if (m_probe) {
         due = std::min(due, m_probe->sentAt + (m_probe->indirect ? m_timings.indirectTimeout : m_timings.probeTimeout));
     }
+    if (m_proofs) {
+        due = std::min(due, m_proofs->nextDue());
+    }
     for (const auto &[key, entry] : m_members) {
         if (entry.member.state == MemberState::Suspect) {
             due = std::min(due, entry.since + m_timings.suspicionTimeout);
@@ -148,17 +154,17 @@
         m_synced = true;
     }
     if (message.ping) {
-        answerPing(message, out);
+        answerPing(message, now, out);
     }
     if (message.ack) {
-        handleAck(*message.ack, out);
+        handleAck(*message.ack, now, out);
     }
     if (message.pull) {
         answerPull(*message.pull, message.replyTo, out);
     }
     compareDigests(message, out);
-    if (message.newestObject > 0) {
-        sendObjects(message.newestObject, message.replyTo, out);
+    if (message.newestObject > 0 && message.newestObject < m_objects.newestVersion()) {
+        sendObjects(m_objects.newerThan(message.newestObject), message.replyTo, out);
     }
     return out;
 }
@@ -240,7 +246,7 @@
         return;
     }
     m_probe = Probe{m_nextProbeNumber++, key, now, false};
-    wire::GossipT message = newPing();
+    wire::GossipT message = newPing(m_probe->number, m_probe->key);
     attachRumours(message);
     out.push_back({target->second.member.inner, std::move(message)});
 }
@@ -293,7 +299,7 @@
             if (key == m_probe->key) {
                 continue;
             }
-            wire::GossipT message = newPing();
+            wire::GossipT message = newPing(m_probe->number, m_probe->key);
             message.ping->onBehalfOf = m_self.inner;
             out.push_back({m_members[key].member.inner, std::move(message)});
         }
@@ -306,7 +312,7 @@
     }
 }
 
-void Membership::answerPing(const wire::GossipT &message, std::vector<OutgoingGossip> &out)
+void Membership::answerPing(const wire::GossipT &message, Millis now, std::vector<OutgoingGossip> &out)
 {
     const wire::PingT &ping = *message.ping;
     const std::string selfKey = keyOf(m_self.incarnation);
@@ -328,6 +334,9 @@
     reply.ack->from = selfKey;
     reply.ack->onBehalfOf = ping.onBehalfOf;
     reply.ack->target = ping.target;
+    if (m_proofs) {
+        m_proofs->writeProof(*reply.ack, now);
+    }
     attachRumours(reply);
     if (ping.target != selfKey) {
         // The target's address has been reused by this node: send its record to the prober.
@@ -336,7 +345,7 @@
     out.push_back({ping.from, std::move(reply)});
 }
 
-void Membership::handleAck(const wire::AckT &ack, std::vector<OutgoingGossip> &out)
+void Membership::handleAck(const wire::AckT &ack, Millis now, std::vector<OutgoingGossip> &out)
 {
     const bool isOwn = ack.onBehalfOf.empty() || ack.onBehalfOf == m_self.inner;
     if (!isOwn) {
@@ -345,9 +354,15 @@
         out.push_back({ack.onBehalfOf, std::move(relayed)});
         return;
     }
+    if (m_proofs) {
+        m_proofs->onAnswer(ack, now);
+    }
     if (!m_probe || m_probe->number != ack.number || m_probe->key != ack.target) {
         return;
     }
+    if (m_proofs) {
+        m_proofs->add(ack, m_probe->sentAt, now);
+    }
     if (ack.from != ack.target) {
         const auto replaced = m_members.find(ack.target);
         if (replaced != m_members.end() && acceptsRequests(replaced->second.member)) {
@@ -443,14 +458,19 @@
     if (!membersDiffer && !objectsDiffer) {
         return;
     }
-    wire::PullRequestT pullRequest;
-    pullRequest.from = m_self.inner;
-    pullRequest.wantMembers = membersDiffer;
-    pullRequest.wantObjects = objectsDiffer;
     wire::GossipT request = newMessage();
-    request.pull = std::make_unique<wire::PullRequestT>(pullRequest);
+    request.pull = newPull(membersDiffer, objectsDiffer);
     out.push_back({message.replyTo, std::move(request)});
-    answerPull(pullRequest, message.replyTo, out);
+}
+
+std::unique_ptr<wire::PullRequestT> Membership::newPull(bool wantMembers, bool wantObjects) const
+{
+    auto pull = std::make_unique<wire::PullRequestT>();
+    pull->from = m_self.inner;
+    pull->wantMembers = wantMembers;
+    pull->wantObjects = wantObjects;
+    RecordStamps(members(), m_objects).writeTo(*pull);
+    return pull;
 }
 
 void Membership::answerPull(const wire::PullRequestT &pull, const std::string &address,
@@ -459,25 +479,43 @@
     if (address.empty()) {
         return;
     }
+    const RecordStamps peer(pull);
     if (pull.wantMembers) {
         wire::GossipT reply = newMessage();
         for (const auto &[key, entry] : m_members) {
-            reply.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(entry.member)));
+            if (peer.lacks(entry.member)) {
+                reply.members.push_back(std::make_unique<wire::MemberRecordT>(toRecord(entry.member)));
+            }
+        }
+        if (!reply.members.empty()) {
+            out.push_back({address, std::move(reply)});
         }
-        out.push_back({address, std::move(reply)});
     }
     if (pull.wantObjects) {
-        sendObjects(0, address, out);
+        sendObjects(m_objects.newerThan(peer.objects()), address, out);
+    }
+    if (!pull.hasStamps || pull.isReply) {
+        return;
+    }
+    const RecordStamps own(members(), m_objects);
+    const bool lacksMembers = pull.wantMembers && own.lacksMembersOf(peer);
+    const bool lacksObjects = pull.wantObjects && own.lacksObjectsOf(peer);
+    if (lacksMembers || lacksObjects) {
+        wire::GossipT request = newMessage();
+        request.pull = newPull(lacksMembers, lacksObjects);
+        request.pull->isReply = true;
+        out.push_back({address, std::move(request)});
     }
 }
 
-void Membership::sendObjects(std::uint64_t newerThan, const std::string &address, std::vector<OutgoingGossip> &out)
+void Membership::sendObjects(const std::vector<StoredObject> &objects, const std::string &address,
+                             std::vector<OutgoingGossip> &out)
 {
-    if (address.empty() || newerThan >= m_objects.newestVersion()) {
+    if (address.empty()) {
         return;
     }
     wire::GossipT message = newMessage();
-    for (const StoredObject &object : m_objects.newerThan(newerThan)) {
+    for (const StoredObject &object : objects) {
         message.objects.push_back(std::make_unique<wire::ObjectRecordT>(m_recordEncoder.encode(object)));
         if (message.objects.size() >= MAX_OBJECTS_PER_MESSAGE) {
             out.push_back({address, std::move(message)});
@@ -520,14 +558,14 @@
     return message;
 }
 
-wire::GossipT Membership::newPing() const
+wire::GossipT Membership::newPing(std::uint64_t number, const std::string &target) const
 {
     wire::GossipT message = newMessage();
     message.newestObject = m_objects.newestVersion();
     message.ping = std::make_unique<wire::PingT>();
-    message.ping->number = m_probe->number;
+    message.ping->number = number;
     message.ping->from = m_self.inner;
-    message.ping->target = m_probe->key;
+    message.ping->target = target;
     return message;
 }
 
