Give local constants names of their own, so that the linter can check their files in units

Five constants of the new parts had the name of one in another file of their unit; the linter then checks the files one by one, which takes several times as long.

--- a/packages/config/src/organisationlist.cpp
+++ b/packages/config/src/organisationlist.cpp
@@ -8,8 +8,8 @@
 
 constexpr std::size_t MAX_NAME_BYTES = 256;
 constexpr std::size_t MAX_KEYS = 200; ///< of an organisation
-constexpr NumberRange PRIORITY_RANGE{0, 100};
-constexpr NumberRange RATE_RANGE{0, 1e9};
+constexpr NumberRange ORGANISATION_PRIORITY_RANGE{0, 100};
+constexpr NumberRange ORGANISATION_RATE_RANGE{0, 1e9};
 
 /// Whether the name arrives unchanged as the value of a header field.
 bool isHeaderValue(const std::string &name)
@@ -50,10 +50,10 @@
 void readLimits(FieldReader &reader, Organisation &organisation)
 {
     if (reader.has("priority")) {
-        organisation.priority = static_cast<int>(reader.number("priority", PRIORITY_RANGE));
+        organisation.priority = static_cast<int>(reader.number("priority", ORGANISATION_PRIORITY_RANGE));
     }
-    organisation.ratePerSecond = reader.number("ratePerSecond", RATE_RANGE, 0);
-    organisation.burst = reader.number("burst", RATE_RANGE, 0);
+    organisation.ratePerSecond = reader.number("ratePerSecond", ORGANISATION_RATE_RANGE, 0);
+    organisation.burst = reader.number("burst", ORGANISATION_RATE_RANGE, 0);
 }
 
 OrganisationEntry entryFrom(const nlohmann::json &document)
--- a/packages/daemon/src/gate/slotreservation.cpp
+++ b/packages/daemon/src/gate/slotreservation.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Millis SEND_TIMEOUT{5000};
+constexpr Millis TURN_SEND_TIMEOUT{5000};
 constexpr Millis RECHECK_INTERVAL{200}; ///< the upstream may start to fail or drain while a request waits
 constexpr Millis DEADLINE_SHIFT_PER_RANK{400}; ///< each rank counts as a deadline this much later
 
@@ -156,7 +156,7 @@
     wire::TurnT message;
     message.request = m_reserve.request;
     message.state = state;
-    m_channel.send(packMessage(message), SEND_TIMEOUT, yield);
+    m_channel.send(packMessage(message), TURN_SEND_TIMEOUT, yield);
 }
 
 void SlotReservation::deny(const Denial &denial, const Yield &yield)
@@ -171,7 +171,7 @@
         answer.load = std::make_unique<wire::LoadT>(loadOf(m_gate, *upstream, m_reserve.workClass));
         answer.waitMs = estimatedWait(*upstream, m_gate.trustOf(upstream->announced.id), slotPriority()).value;
     }
-    m_channel.send(packMessage(std::move(answer)), SEND_TIMEOUT, yield);
+    m_channel.send(packMessage(std::move(answer)), TURN_SEND_TIMEOUT, yield);
 }
 
 } // namespace mustardpond
--- a/packages/daemon/src/router/keyadmission.cpp
+++ b/packages/daemon/src/router/keyadmission.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Millis RETRY_AFTER{1000};
+constexpr Millis UNPROVED_RETRY_AFTER{1000};
 
 } // namespace
 
@@ -23,7 +23,7 @@
     ++m_refused;
     RouterAnswer answer;
     answer.detail = "this host cannot tell whether the key is still valid: try another host, or later";
-    answer.retryAfter = RETRY_AFTER;
+    answer.retryAfter = UNPROVED_RETRY_AFTER;
     return answer;
 }
 
--- a/packages/daemon/src/router/quotaclient.cpp
+++ b/packages/daemon/src/router/quotaclient.cpp
@@ -17,7 +17,7 @@
 constexpr Millis TOKEN_LIFETIME{200};
 constexpr Millis ADVANCE_PERIOD{50}; ///< demand for which tokens are taken in advance, from 40 requests/s
 constexpr unsigned MAX_ADVANCE = 64;
-constexpr Millis MIN_RETRY_AFTER{200};
+constexpr Millis MIN_QUOTA_RETRY_AFTER{200};
 constexpr Millis UNAVAILABLE_RETRY_AFTER{500};
 constexpr double RETRY_SPREAD = 0.1;
 constexpr double MS_PER_SECOND = 1000;
@@ -78,7 +78,8 @@
     state.creditAt = std::min(creditAt, now + longest);
     const double spread = 1 - RETRY_SPREAD + 2 * RETRY_SPREAD * m_random.uniform();
     const Millis retryAfter((state.creditAt - now).value * spread);
-    const QuotaDecision decision{QuotaResult::OverLimit, std::min(std::max(retryAfter, MIN_RETRY_AFTER), longest)};
+    const QuotaDecision decision{QuotaResult::OverLimit,
+                                 std::min(std::max(retryAfter, MIN_QUOTA_RETRY_AFTER), longest)};
     if (now >= state.nextReport) {
         state.nextReport = now + REPORT_INTERVAL;
         logEvent(Event::QuotaExceeded,
