--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -13,6 +13,7 @@
 done
 FLAGS+=(-DSPDLOG_FMT_EXTERNAL)
 SOURCES=(packages/foundation/src/random.cpp packages/wire/src/*.cpp packages/decision/src/operationid.cpp
+    packages/decision/src/configfreshness.cpp
     packages/config/src/objecttable.cpp packages/membership/src/*.cpp)
 clang++ "${FLAGS[@]}" packages/membership/fuzz/seeds_main.cpp packages/wire/src/*.cpp -lfmt -lz -o "$OUT/seeds-writer"
 "$OUT/seeds-writer" "$OUT/seeds"
