--- a/packages/daemon/src/control/platformroles.cpp
+++ b/packages/daemon/src/control/platformroles.cpp
@@ -41,6 +41,7 @@
     std::sort(eligible.begin(), eligible.end(), [](const Member *a, const Member *b) { return rank(*a) > rank(*b); });
     eligible.resize(std::min(eligible.size(), WATCHERS_PER_DATA_CENTRE));
     std::vector<Incarnation> watchers;
+    watchers.reserve(eligible.size());
     for (const Member *member : eligible) {
         watchers.push_back(member->incarnation);
     }
--- a/packages/daemon/src/router/bodybudget.cpp
+++ b/packages/daemon/src/router/bodybudget.cpp
@@ -9,7 +9,7 @@
 constexpr Millis MAX_WAIT{1000}; ///< for room in the budget
 constexpr Millis EVICTION_TIME{20}; ///< for an evicted connection to return its bytes
 constexpr int MAX_EVICTIONS = 8; ///< by one request; each may return less than the request needs
-constexpr Millis MIN_RETRY_AFTER{200};
+constexpr Millis MIN_BODY_RETRY_AFTER{200};
 
 } // namespace
 
@@ -128,7 +128,7 @@
 
 Millis BodyHold::retryAfter() const
 {
-    return std::max(MIN_RETRY_AFTER, m_budget.m_bytes.timeUntilVictim(m_budget.m_clock.now()));
+    return std::max(MIN_BODY_RETRY_AFTER, m_budget.m_bytes.timeUntilVictim(m_budget.m_clock.now()));
 }
 
 } // namespace mustardpond
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -30,7 +30,7 @@
 constexpr std::size_t REQUEST_BYTES = 4 * KIB; ///< that any request takes from the byte budget
 constexpr int SEND_BUFFER_BYTES = 64 * KIB; ///< in the kernel, which would buffer MBs for a caller that does not read
 constexpr Millis OPEN_TIMEOUT{5000};
-constexpr Millis MIN_RETRY_AFTER{200};
+constexpr Millis MIN_LATE_RETRY_AFTER{200};
 constexpr Millis PROBLEM_RETRY_AFTER{1000}; ///< sent with every answer of replyProblem()
 
 /// Returns the host without its port.
@@ -337,7 +337,7 @@
     result.answer.outcome = wire::Outcome::NotRun;
     result.answer.reason = wire::NotRunReason::Leaving;
     result.answer.detail = "the daemon is stopping and might not finish the request in time";
-    result.retryAfter = std::max(MIN_RETRY_AFTER, late.untilStop);
+    result.retryAfter = std::max(MIN_LATE_RETRY_AFTER, late.untilStop);
     reply(request, std::move(result), startedAt, yield);
     return true;
 }
