Review: case 9, a key that was taken away is accepted after the store's return

After the store has come back from an older copy, the configurations written then have lower revisions than the lost ones and are dropped, while the store's answers still count as proofs that the lost one is the newest.

Case: six daemons with strict keys; the store is away for 1 s and returns from a copy 5 s old, and the operator takes a key away. The stand-in of the store learns to keep a copy and to come back from it.

--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -340,6 +340,22 @@
         apply("config", "main", spec, false);
         return nowS();
     }
+    /// Keeps a copy of what is stored now.
+    void copy()
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_copy = m_objects;
+        m_copiedRevision = m_revision;
+    }
+    /// Comes back from the copy: later writes are lost, and revisions go back. The header Store-Era rises.
+    void comeBackFromCopy()
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_objects = m_copy;
+        m_revision = m_copiedRevision;
+        m_history.clear();
+        ++m_era;
+    }
     std::atomic<bool> down{false}; ///< every connection is closed unanswered
     std::function<bool(const std::string &ip)> refuses; ///< machines that are not served
 
@@ -359,10 +375,11 @@
             if (down || (refuses && refuses(ip))) {
                 return;
             }
-            const std::string answer = handle(request);
+            std::string answer = handle(request);
             if (down || (refuses && refuses(ip))) {
                 return;
             }
+            answer.insert(answer.find("\r\n") + 2, "Store-Era: " + std::to_string(m_era) + "\r\n");
             if (!sendAll(fd, answer)) {
                 return;
             }
@@ -447,6 +464,9 @@
         while (true) {
             {
                 std::lock_guard<std::mutex> lock(m_mutex);
+                if (since > m_revision) {
+                    return answerText(410, "{}");
+                }
                 Json events = Json::array();
                 for (const Change &change : m_history) {
                     if (change.revision > since && change.kind == kind) {
@@ -464,6 +484,9 @@
     std::map<std::pair<std::string, std::string>, Json> m_objects;
     std::vector<Change> m_history;
     std::uint64_t m_revision = 100;
+    std::map<std::pair<std::string, std::string>, Json> m_copy;
+    std::uint64_t m_copiedRevision = 0;
+    std::atomic<int> m_era{1};
 };
 
 /// Links between machines, relayed at an address for each machine. A cut link passes nothing and hangs.
