Store: compare versions with the store's era

Cause: a revision alone was taken for the newest, by the object table and its digest, gossip, proofs of freshness and the watch. A store that returns from a copy gives its last revisions out again under a higher Store-Era, which nobody read.

Change: ObjectVersion (edition, era, revision) and supersedes() take the place of plain revisions wherever the newest is decided; the wire has the two new fields. StoreEras completes the answers that a daemon reads, and has all objects listed again after a change of era. A return is logged (E405).

Ping and answer grow by 16 bytes where a store names eras, by none elsewhere.

--- a/packages/config/include/config/configsnapshot.h
+++ b/packages/config/include/config/configsnapshot.h
@@ -57,13 +57,13 @@
     {
         return m_routeCount;
     }
-    /// Returns the highest version of all objects in force, or 0 without objects.
-    std::uint64_t newestVersion() const
+    /// Returns the newest version of all objects in force, or one without a revision if there are no objects.
+    const ObjectVersion &newestVersion() const
     {
         return m_newestVersion;
     }
     /// Returns the version in force of each object by "kind/name".
-    const std::unordered_map<std::string, std::uint64_t> &versions() const
+    const std::unordered_map<std::string, ObjectVersion> &versions() const
     {
         return m_versions;
     }
@@ -80,9 +80,9 @@
     std::optional<CallerLimits> m_callerLimits;
     std::shared_ptr<const OrganisationTable> m_organisations;
     std::vector<ApprovedRefusal> m_refusals;
-    std::unordered_map<std::string, std::uint64_t> m_versions;
+    std::unordered_map<std::string, ObjectVersion> m_versions;
     std::size_t m_routeCount = 0;
-    std::uint64_t m_newestVersion = 0;
+    ObjectVersion m_newestVersion;
 };
 
 /// Called with an invalid object and the reason.
@@ -118,7 +118,7 @@
     ByName<RefusalObject> m_refusals;
     std::optional<CallerLimits> m_callerLimits;
     std::shared_ptr<const OrganisationTable> m_organisations;
-    std::unordered_map<std::string, std::uint64_t> m_versions;
+    std::unordered_map<std::string, ObjectVersion> m_versions;
 };
 
 } // namespace mustardpond
--- a/packages/config/include/config/objecttable.h
+++ b/packages/config/include/config/objecttable.h
@@ -1,4 +1,4 @@
-/// A node's copy of all objects, each at the highest version received.
+/// A node's copy of all objects, each at the newest version received.
 #pragma once
 
 #include "config/objectstore.h"
@@ -23,22 +23,22 @@
     /// Returns the object, deleted or not, or null if it is unknown. The pointer is valid until the next apply().
     const StoredObject *findByKey(const std::string &key) const;
 
-    /// Returns the object's version, or 0 if it is unknown.
-    std::uint64_t version(const std::string &kind, const std::string &name) const;
+    /// Returns the object's version, or one without a revision if it is unknown.
+    ObjectVersion version(const std::string &kind, const std::string &name) const;
     /// Returns the object, or nothing if it is unknown or deleted.
     std::optional<StoredObject> find(const std::string &kind, const std::string &name) const;
     /// Returns the objects of a kind without deleted ones, sorted by name.
     std::vector<StoredObject> objectsOfKind(const std::string &kind) const;
     /// Returns all objects, including deleted ones.
     std::vector<StoredObject> all() const;
-    /// Returns the objects with a higher version, including deleted ones.
-    std::vector<StoredObject> newerThan(std::uint64_t version) const;
+    /// Returns the objects with a newer version, including deleted ones.
+    std::vector<StoredObject> newerThan(const ObjectVersion &version) const;
     /// Returns the version of each object by the hash of its key.
-    std::unordered_map<std::uint64_t, std::uint64_t> versionsByHash() const;
+    std::unordered_map<std::uint64_t, ObjectVersion> versionsByHash() const;
     /// Returns the objects, including deleted ones, that are missing among the given versions or newer than there.
-    std::vector<StoredObject> newerThan(const std::unordered_map<std::uint64_t, std::uint64_t> &versionsByHash) const;
-    /// Returns the highest version of all objects, or 0 without objects.
-    std::uint64_t newestVersion() const
+    std::vector<StoredObject> newerThan(const std::unordered_map<std::uint64_t, ObjectVersion> &versionsByHash) const;
+    /// Returns the newest version of all objects, or one without a revision if there are no objects.
+    const ObjectVersion &newestVersion() const
     {
         return m_newestVersion;
     }
@@ -56,7 +56,7 @@
 private:
     std::unordered_map<std::string, StoredObject> m_objects;
     std::uint64_t m_digest = 0;
-    std::uint64_t m_newestVersion = 0;
+    ObjectVersion m_newestVersion;
 };
 
 } // namespace mustardpond
--- a/packages/config/src/configsnapshot.cpp
+++ b/packages/config/src/configsnapshot.cpp
@@ -185,7 +185,9 @@
     snapshot->m_workClasses = m_workClasses;
     snapshot->m_versions = m_versions;
     for (const auto &[object, version] : m_versions) {
-        snapshot->m_newestVersion = std::max(snapshot->m_newestVersion, version);
+        if (supersedes(version, snapshot->m_newestVersion)) {
+            snapshot->m_newestVersion = version;
+        }
     }
     snapshot->m_callerLimits = m_callerLimits;
     snapshot->m_organisations = m_organisations;
--- a/packages/config/src/objecttable.cpp
+++ b/packages/config/src/objecttable.cpp
@@ -3,14 +3,17 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 
 namespace mustardpond {
 
 namespace {
 
-std::uint64_t hashOf(const std::string &key, std::uint64_t version)
+std::uint64_t hashOf(const std::string &key, const ObjectVersion &version)
 {
-    return XXH64(key.data(), key.size(), version);
+    const std::array<std::uint64_t, 2> origin{version.edition, version.era};
+    const std::uint64_t seed = version.isPlain() ? 0 : XXH64(origin.data(), sizeof(origin), 0);
+    return XXH64(key.data(), key.size(), version.revision ^ seed);
 }
 
 } // namespace
@@ -31,21 +34,23 @@
     const std::string key = keyOf(object.kind, object.name);
     const auto found = m_objects.find(key);
     if (found != m_objects.end()) {
-        if (object.version <= found->second.version) {
+        if (!supersedes(object.version, found->second.version)) {
             return false;
         }
         m_digest ^= hashOf(key, found->second.version);
     }
     m_digest ^= hashOf(key, object.version);
-    m_newestVersion = std::max(m_newestVersion, object.version);
+    if (supersedes(object.version, m_newestVersion)) {
+        m_newestVersion = object.version;
+    }
     m_objects[key] = object;
     return true;
 }
 
-std::uint64_t ObjectTable::version(const std::string &kind, const std::string &name) const
+ObjectVersion ObjectTable::version(const std::string &kind, const std::string &name) const
 {
     const auto found = m_objects.find(keyOf(kind, name));
-    return found == m_objects.end() ? 0 : found->second.version;
+    return found == m_objects.end() ? ObjectVersion() : found->second.version;
 }
 
 std::optional<StoredObject> ObjectTable::find(const std::string &kind, const std::string &name) const
@@ -71,23 +76,23 @@
 
 std::vector<StoredObject> ObjectTable::all() const
 {
-    return newerThan(0);
+    return newerThan(ObjectVersion());
 }
 
-std::vector<StoredObject> ObjectTable::newerThan(std::uint64_t version) const
+std::vector<StoredObject> ObjectTable::newerThan(const ObjectVersion &version) const
 {
     std::vector<StoredObject> list;
     for (const auto &[key, object] : m_objects) {
-        if (object.version > version) {
+        if (supersedes(object.version, version)) {
             list.push_back(object);
         }
     }
     return list;
 }
 
-std::unordered_map<std::uint64_t, std::uint64_t> ObjectTable::versionsByHash() const
+std::unordered_map<std::uint64_t, ObjectVersion> ObjectTable::versionsByHash() const
 {
-    std::unordered_map<std::uint64_t, std::uint64_t> versions;
+    std::unordered_map<std::uint64_t, ObjectVersion> versions;
     for (const auto &[key, object] : m_objects) {
         versions[hashOf(key, 0)] = object.version;
     }
@@ -95,12 +100,12 @@
 }
 
 std::vector<StoredObject>
-ObjectTable::newerThan(const std::unordered_map<std::uint64_t, std::uint64_t> &versionsByHash) const
+ObjectTable::newerThan(const std::unordered_map<std::uint64_t, ObjectVersion> &versionsByHash) const
 {
     std::vector<StoredObject> list;
     for (const auto &[key, object] : m_objects) {
         const auto known = versionsByHash.find(hashOf(key, 0));
-        if (known == versionsByHash.end() || known->second < object.version) {
+        if (known == versionsByHash.end() || supersedes(object.version, known->second)) {
             list.push_back(object);
         }
     }
--- a/packages/ctl/src/objectcommands.cpp
+++ b/packages/ctl/src/objectcommands.cpp
@@ -32,7 +32,7 @@
 std::uint64_t currentVersion(ObjectStore &store, const StoredObject &object)
 {
     try {
-        return store.read(object.kind, object.name).version;
+        return store.read(object.kind, object.name).version.revision;
     } catch (const Exception &error) {
         if (error.kind() == ErrorKind::NotFound) {
             return 0;
@@ -46,7 +46,7 @@
 {
     try {
         const StoredObject stored = store.read(object.kind, object.name);
-        return stored.value == object.value ? stored.version : 0;
+        return stored.value == object.value ? stored.version.revision : 0;
     } catch (const Exception &) {
         return 0;
     }
@@ -71,13 +71,14 @@
     if (json) {
         std::cout << nlohmann::json({{"kind", object.kind},
                                      {"name", object.name},
-                                     {"version", object.version},
+                                     {"version", object.version.revision},
                                      {"value", nlohmann::json::parse(object.value, nullptr, false)}})
                          .dump()
                   << "\n";
         return;
     }
-    std::cout << fmt::format("{:<10} {:<28} v{:<6} {}\n", object.kind, object.name, object.version, object.value);
+    std::cout << fmt::format("{:<10} {:<28} v{:<6} {}\n", object.kind, object.name, object.version.revision,
+                             object.value);
 }
 
 } // namespace
@@ -126,7 +127,7 @@
     }
     object.value = document.dump();
     checkObject(object);
-    const auto version = writeAndVerify(store, object, object.version);
+    const auto version = writeAndVerify(store, object, object.version.revision);
     std::cout << fmt::format("{}/{} is at version {}\n", object.kind, object.name, version);
 }
 
@@ -162,7 +163,7 @@
         refusal.terms.expires = wallClockNow() + Millis(decision.minutes * MS_PER_MINUTE);
     }
     object.value = toJsonText(refusal);
-    const auto version = writeAndVerify(store, object, object.version);
+    const auto version = writeAndVerify(store, object, object.version.revision);
     std::cout << fmt::format("{} is {} (version {})\n", decision.id, nameOf(REFUSAL_STATE_NAMES, decision.state),
                              version);
 }
--- a/packages/daemon/src/control/bundleinforce.cpp
+++ b/packages/daemon/src/control/bundleinforce.cpp
@@ -1,16 +1,14 @@
 #include "bundleinforce.h"
 
-#include <algorithm>
-
 namespace mustardpond {
 
-std::uint64_t bundleVersion(const ConfigSnapshot &config)
+ObjectVersion bundleVersion(const ConfigSnapshot &config)
 {
     const std::string prefix = ObjectTable::keyOf(std::string(nameOf(OBJECT_KIND_NAMES, ObjectKind::Bundle)), "");
-    std::uint64_t newest = 0;
+    ObjectVersion newest;
     for (const auto &[key, version] : config.versions()) {
-        if (key.compare(0, prefix.size(), prefix) == 0) {
-            newest = std::max(newest, version);
+        if (key.compare(0, prefix.size(), prefix) == 0 && supersedes(version, newest)) {
+            newest = version;
         }
     }
     return newest;
--- a/packages/daemon/src/control/bundleinforce.h
+++ b/packages/daemon/src/control/bundleinforce.h
@@ -3,12 +3,10 @@
 
 #include "config/configsnapshot.h"
 
-#include <cstdint>
-
 namespace mustardpond {
 
-/// Returns the version of the bundle in force, the only object of its kind; 0 without one.
-std::uint64_t bundleVersion(const ConfigSnapshot &config);
+/// Returns the version of the bundle in force, the only object of its kind; one without a revision if there is none.
+ObjectVersion bundleVersion(const ConfigSnapshot &config);
 
 /// Whether the configuration has organisations, whose requests need keys.
 bool hasOrganisations(const ConfigSnapshot &config);
--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -215,7 +215,7 @@
         const auto &proof = m_router.keyAdmission().proof();
         const auto age = m_router.proofAge();
         document["proof"] = {{"ageMs", age ? nlohmann::json(age->value) : nlohmann::json()},
-                             {"version", proof ? proof->version : 0},
+                             {"version", proof ? proof->version.revision : 0},
                              {"acceptsKeys", m_router.acceptsKeys()}};
     }
     for (const Member &member : view.members) {
@@ -256,7 +256,7 @@
     const FleetView &view = m_router.view();
     if (view.config) {
         for (const auto &[key, version] : view.config->versions()) {
-            versions[key] = version;
+            versions[key] = version.revision;
         }
     }
     return versions.dump();
--- a/packages/daemon/src/control/memberactor.cpp
+++ b/packages/daemon/src/control/memberactor.cpp
@@ -81,9 +81,11 @@
         , m_output(std::move(output))
         , m_builder(
               [](const StoredObject &object, const std::string &cause) {
-                  logEvent(
-                      Event::ObjectInvalid,
-                      {{"kind", object.kind}, {"name", object.name}, {"version", object.version}, {"cause", cause}});
+                  logEvent(Event::ObjectInvalid,
+                           {{"kind", object.kind},
+                            {"name", object.name},
+                            {"version", object.version.revision},
+                            {"cause", cause}});
               },
               logLeftOut)
     {
@@ -259,8 +261,9 @@
                 continue;
             }
             m_builder.apply(object);
-            logEvent(Event::ObjectApplied,
-                     {{"kind", object.kind}, {"name", object.name}, {"version", object.version}, {"from", from}});
+            logEvent(
+                Event::ObjectApplied,
+                {{"kind", object.kind}, {"name", object.name}, {"version", object.version.revision}, {"from", from}});
             m_changed = true;
             m_configured = true;
             m_config = nullptr;
--- a/packages/daemon/src/control/proofreport.cpp
+++ b/packages/daemon/src/control/proofreport.cpp
@@ -59,9 +59,9 @@
 void ProofReport::logRefused(const ConfigFreshness &freshness, Millis now) const
 {
     nlohmann::json fields = {{"ageMs", m_handedOver ? (now - m_handedOver->at).value : -1},
-                             {"version", m_handedOver ? m_handedOver->version : 0}};
+                             {"version", m_handedOver ? m_handedOver->version.revision : 0}};
     if (freshness.isMissingVersion()) {
-        fields["missingVersion"] = freshness.latest()->version;
+        fields["missingVersion"] = freshness.latest()->version.revision;
     }
     logEvent(Event::KeysRefused, fields);
 }
--- a/packages/daemon/src/control/recordactor.cpp
+++ b/packages/daemon/src/control/recordactor.cpp
@@ -32,7 +32,7 @@
         return attempt([&] {
             StoredObject object = readRecord(m_settings.node);
             object.value = nodeRecord(m_settings, m_incarnation, upstreams);
-            m_store->write(object, object.version);
+            m_store->write(object, object.version.revision);
         });
     }
 
@@ -41,11 +41,11 @@
     {
         return attempt([&] {
             StoredObject object = readRecord(node);
-            if (object.version == 0 || incarnationOf(object) != toString(incarnation)) {
+            if (!object.version.isKnown() || incarnationOf(object) != toString(incarnation)) {
                 return;
             }
             object.deleted = true;
-            m_store->write(object, object.version);
+            m_store->write(object, object.version.revision);
         });
     }
 
--- a/packages/daemon/src/control/storeactor.cpp
+++ b/packages/daemon/src/control/storeactor.cpp
@@ -1,6 +1,7 @@
 #include "storeactor.h"
 
 #include "noderecord.h"
+#include "storeeras.h"
 #include "storeproofs.h"
 
 #include "foundation/errors.h"
@@ -42,16 +43,13 @@
             registerNode();
             if (!m_listed) {
                 const Millis askedAt = m_clock.now();
-                const Listing listing = m_store->list();
-                applyListing(listing);
-                m_listed = true;
-                prove(listing, 0, askedAt);
+                if (!receive(m_store->list(), 0, askedAt)) {
+                    return OUTAGE_RETRY_DELAY;
+                }
             } else if (m_watches) {
                 const Millis askedAt = m_clock.now();
-                const std::uint64_t revision = m_revision;
-                const Listing listing = m_store->watch(revision, watchTimeout());
-                applyListing(listing);
-                prove(listing, revision, askedAt);
+                const std::uint64_t revision = m_eras.revision();
+                receive(m_store->watch(revision, watchTimeout()), revision, askedAt);
             }
             setReachable(true, "");
             if (m_listed && !m_watches) {
@@ -103,7 +101,7 @@
         std::vector<UpstreamInfo> leaving;
         try {
             const StoredObject stored = m_store->read(object.kind, object.name);
-            version = stored.version;
+            version = stored.version.revision;
             leaving = leavingUpstreams(stored);
             restore(leaving);
         } catch (const StoreOutage &) {
@@ -129,12 +127,24 @@
         }
     }
 
-    void applyListing(const Listing &listing)
+    /// Returns false if the answer was discarded and all objects must be listed again.
+    bool receive(Listing listing, std::uint64_t askedRevision, Millis askedAt)
     {
-        m_revision = listing.revision;
+        const std::uint64_t era = m_eras.era();
+        if (!m_eras.accept(listing)) {
+            m_listed = false;
+            return false;
+        }
+        if (era != 0 && m_eras.era() != era) {
+            logEvent(Event::StoreReturned, {{"era", m_eras.era()}, {"revision", m_eras.revision()}});
+        }
         if (!listing.objects.empty() || !m_listed) {
             caf::anon_send(m_members, StoreChanged{listing.objects});
         }
+        m_listed = true;
+        // The revision that was asked for belongs to the era before.
+        prove(listing, m_eras.era() == era ? askedRevision : 0, askedAt);
+        return true;
     }
 
     Millis watchTimeout() const
@@ -175,7 +185,7 @@
     RestoreHandler m_restore;
     SteadyClock m_clock;
     StoreProofs m_proofs;
-    std::uint64_t m_revision = 0;
+    StoreEras m_eras;
     bool m_listed = false;
     bool m_watches = true;
     bool m_registered = false;
--- a/packages/daemon/src/control/storeproofs.cpp
+++ b/packages/daemon/src/control/storeproofs.cpp
@@ -16,7 +16,7 @@
 std::optional<FreshnessProof> StoreProofs::onAnswer(const Listing &answer, std::uint64_t askedRevision, Millis askedAt)
 {
     for (const StoredObject &object : answer.objects) {
-        if (isBundle(object) && object.version > m_version) {
+        if (isBundle(object) && supersedes(object.version, m_version)) {
             m_name = object.name;
             m_version = object.version;
             m_readable = true;
@@ -24,12 +24,14 @@
     }
     for (const StoredObject &object : answer.unreadable) {
         const bool mayBeTheBundle = object.name.empty() || m_name.empty() || object.name == m_name;
-        const bool mayBeNewer = object.version == 0 || object.version > m_version;
+        // The edition of an unreadable version is unknown.
+        const bool mayBeNewer = !object.version.isKnown() || object.version.era != m_version.era
+            || object.version.revision > m_version.revision;
         if (isBundle(object) && mayBeTheBundle && mayBeNewer) {
             m_readable = false;
         }
     }
-    if (m_version == 0 || !m_readable || answer.revision < askedRevision) {
+    if (!m_version.isKnown() || !m_readable || answer.revision < askedRevision) {
         return std::nullopt;
     }
     return FreshnessProof{m_version, askedAt};
--- a/packages/daemon/src/control/storeproofs.h
+++ b/packages/daemon/src/control/storeproofs.h
@@ -20,7 +20,7 @@
 
 private:
     std::string m_name;
-    std::uint64_t m_version = 0;
+    ObjectVersion m_version;
     bool m_readable = true; ///< whether the newest bundle could be read
 };
 
--- a/packages/daemon/src/router/requestrecord.cpp
+++ b/packages/daemon/src/router/requestrecord.cpp
@@ -102,7 +102,7 @@
                   {"upstreamMs", result.answer.upstreamMs},
                   {"queuedMs", result.answer.queuedMs},
                   {"retried", result.retried},
-                  {"config", router.view().config->newestVersion()}});
+                  {"config", router.view().config->newestVersion().revision}});
     }
 }
 
@@ -116,7 +116,7 @@
               {"inner", request.inner},
               {"upstream", result.upstream},
               {"asked", result.gatesAsked},
-              {"config", router.view().config->newestVersion()},
+              {"config", router.view().config->newestVersion().revision},
               {"reason", nameOf(NOT_RUN_REASON_NAMES, answer.reason)},
               {"detail", answer.detail},
               {"afterMs", (router.clock().now() - startedAt).value},
--- a/packages/daemon/test/storeactor_test.cpp
+++ b/packages/daemon/test/storeactor_test.cpp
@@ -44,7 +44,7 @@
         const auto members = system.spawn([this]() -> caf::behavior {
             return {
                 [this](const StoreProved &proved) {
-                    m_proved = proved.proof.version;
+                    m_proved = proved.proof.version.revision;
                     ++m_proofs;
                 },
                 [](const StoreChanged &) {},
--- a/packages/daemon/test/storeproofs_test.cpp
+++ b/packages/daemon/test/storeproofs_test.cpp
@@ -48,6 +48,22 @@
     EXPECT_TRUE(proofs.onAnswer(answer, 0, ASKED_AT));
 }
 
+// Guards against the proof that a copy's older bundle is the newest one: hosts would accept keys that were withdrawn
+// after it.
+TEST(StoreProofsTest, AfterAReturnTheNewestBundleOfAnyEraIsProved)
+{
+    StoreProofs proofs;
+    const StoredObject before{"bundle", "main", {15, 1, 120}, false, "{}"};
+    const StoredObject copy{"bundle", "main", {9, 2, 110}, false, "{}"};
+    const StoredObject after{"bundle", "main", {17, 2, 112}, false, "{}"};
+    proofs.onAnswer(listing(120, {before}), 0, ASKED_AT);
+    EXPECT_EQ(proofs.onAnswer(listing(110, {copy}), 0, ASKED_AT)->version, before.version);
+    EXPECT_EQ(proofs.onAnswer(listing(112, {after}), 110, ASKED_AT)->version, after.version);
+    StoredObject unreadable = after;
+    unreadable.version = {0, 3, 100};
+    EXPECT_FALSE(proofs.onAnswer(listing(100, {}, {unreadable}), 0, ASKED_AT));
+}
+
 TEST(StoreProofsTest, AStoreThatHasLostRevisionsProvesNothing)
 {
     StoreProofs proofs;
--- a/packages/decision/include/decision/configfreshness.h
+++ b/packages/decision/include/decision/configfreshness.h
@@ -1,16 +1,16 @@
 /// Decides whether a host may rely on its configuration being the newest, and when it asks which peer for a proof.
 #pragma once
 
+#include "decision/objectversion.h"
 #include "foundation/clock.h"
 
-#include <cstdint>
 #include <optional>
 
 namespace mustardpond {
 
 /// No version newer than this one had been stored by that time of this host's clock.
 struct FreshnessProof {
-    std::uint64_t version = 0;
+    ObjectVersion version;
     Millis at;
 };
 
@@ -32,7 +32,7 @@
     ConfigFreshness(Millis maxAge, double spread);
 
     /// Sets the version that is in force on this host.
-    void setApplied(std::uint64_t version);
+    void setApplied(const ObjectVersion &version);
     /// Sets whether this host reads the store itself. It then only asks when its own proof is old.
     void setWatcher(bool watcher)
     {
@@ -54,7 +54,7 @@
     /// Whether a proof has shown that a version exists which is not in force here.
     bool isMissingVersion() const
     {
-        return m_latest && m_latest->version > m_applied;
+        return m_latest && supersedes(m_latest->version, m_applied);
     }
 
     Millis nextQuestion() const;
@@ -68,7 +68,7 @@
     double m_scale;
     double m_spread;
     bool m_watcher = false;
-    std::uint64_t m_applied = 0;
+    ObjectVersion m_applied;
     std::optional<FreshnessProof> m_latest;
     std::optional<FreshnessProof> m_usable;
     std::optional<Millis> m_askedAt;
--- a/packages/decision/src/configfreshness.cpp
+++ b/packages/decision/src/configfreshness.cpp
@@ -26,26 +26,26 @@
 {
 }
 
-void ConfigFreshness::setApplied(std::uint64_t version)
+void ConfigFreshness::setApplied(const ObjectVersion &version)
 {
     m_applied = version;
-    if (m_usable && m_usable->version > m_applied) {
+    if (m_usable && supersedes(m_usable->version, m_applied)) {
         m_usable.reset();
     }
-    if (m_latest && m_latest->version <= m_applied) {
+    if (m_latest && !supersedes(m_latest->version, m_applied)) {
         m_usable = m_latest;
     }
 }
 
 void ConfigFreshness::add(const FreshnessProof &proof, Millis now)
 {
-    if (proof.version == 0 || proof.at > now) {
+    if (!proof.version.isKnown() || proof.at > now) {
         return;
     }
     if (!m_latest || proof.at > m_latest->at) {
         m_latest = proof;
     }
-    if (proof.version <= m_applied && (!m_usable || proof.at > m_usable->at)) {
+    if (!supersedes(proof.version, m_applied) && (!m_usable || proof.at > m_usable->at)) {
         m_usable = proof;
         m_rotation = isUrgent(now) ? m_rotation : 0;
     }
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -35,6 +35,7 @@
     StoreUnreachable = 402,
     StoreReachable = 403,
     WatchChanged = 404,
+    StoreReturned = 405,
     KeysRefused = 410,
     KeysAccepted = 411,
     RefusalRequested = 500,
@@ -64,7 +65,7 @@
     AddressBusy = 106,
 };
 
-constexpr EnumTable<Event, 52> EVENT_NAMES = {{
+constexpr EnumTable<Event, 53> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -88,6 +89,7 @@
     {Event::StoreUnreachable, "store-unreachable"},
     {Event::StoreReachable, "store-reachable"},
     {Event::WatchChanged, "watch-changed"},
+    {Event::StoreReturned, "store-returned"},
     {Event::KeysRefused, "keys-refused"},
     {Event::KeysAccepted, "keys-accepted"},
     {Event::RefusalRequested, "refusal-requested"},
--- a/packages/foundation/src/events.cpp
+++ b/packages/foundation/src/events.cpp
@@ -41,6 +41,7 @@
     case Event::MemberDead:
     case Event::ObjectInvalid:
     case Event::StoreUnreachable:
+    case Event::StoreReturned:
     case Event::KeysRefused:
     case Event::RefusalRequested:
     case Event::PeerRejected:
--- a/packages/membership/include/membership/member.h
+++ b/packages/membership/include/membership/member.h
@@ -62,6 +62,7 @@
 
 wire::MemberRecordT toRecord(const Member &member);
 Member fromRecord(const wire::MemberRecordT &record);
+ObjectVersion versionOf(const wire::ObjectRecordT &record);
 /// Throws BadFrame for a compressed value that cannot be decompressed.
 StoredObject fromRecord(const wire::ObjectRecordT &record);
 
--- a/packages/membership/include/membership/objectrecordencoder.h
+++ b/packages/membership/include/membership/objectrecordencoder.h
@@ -19,7 +19,7 @@
 
 private:
     struct CompressedValue {
-        std::uint64_t version = 0;
+        ObjectVersion version;
         std::vector<std::uint8_t> bytes;
     };
 
--- a/packages/membership/src/member.cpp
+++ b/packages/membership/src/member.cpp
@@ -64,10 +64,15 @@
     return member;
 }
 
+ObjectVersion versionOf(const wire::ObjectRecordT &record)
+{
+    return {record.edition, record.era, record.version};
+}
+
 StoredObject fromRecord(const wire::ObjectRecordT &record)
 {
     std::string value = record.packed.empty() ? record.value : decompressBytes(record.packed, record.size);
-    return {record.kind, record.name, record.version, record.deleted, std::move(value)};
+    return {record.kind, record.name, versionOf(record), record.deleted, std::move(value)};
 }
 
 } // namespace mustardpond
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -32,6 +32,18 @@
     return toString(incarnation);
 }
 
+ObjectVersion newestObjectOf(const wire::GossipT &message)
+{
+    return {message.newestEdition, message.newestEra, message.newestObject};
+}
+
+void setNewestObject(wire::GossipT &message, const ObjectVersion &version)
+{
+    message.newestEdition = version.edition;
+    message.newestEra = version.era;
+    message.newestObject = version.revision;
+}
+
 } // namespace
 
 Membership::Membership(Member self, MembershipTimings timings, Random &random)
@@ -163,15 +175,16 @@
         answerPull(*message.pull, message.replyTo, out);
     }
     compareDigests(message, out);
-    if (message.newestObject > 0 && message.newestObject < m_objects.newestVersion()) {
-        sendObjects(m_objects.newerThan(message.newestObject), message.replyTo, out);
+    const ObjectVersion newest = newestObjectOf(message);
+    if (newest.isKnown() && supersedes(m_objects.newestVersion(), newest)) {
+        sendObjects(m_objects.newerThan(newest), message.replyTo, out);
     }
     return out;
 }
 
 void Membership::receiveObject(const wire::ObjectRecordT &record)
 {
-    if (record.version > m_objects.version(record.kind, record.name)) {
+    if (supersedes(versionOf(record), m_objects.version(record.kind, record.name))) {
         applyObject(fromRecord(record));
     }
 }
@@ -328,7 +341,7 @@
         return;
     }
     wire::GossipT reply = newMessage();
-    reply.newestObject = m_objects.newestVersion();
+    setNewestObject(reply, m_objects.newestVersion());
     reply.ack = std::make_unique<wire::AckT>();
     reply.ack->number = ping.number;
     reply.ack->from = selfKey;
@@ -561,7 +574,7 @@
 wire::GossipT Membership::newPing(std::uint64_t number, const std::string &target) const
 {
     wire::GossipT message = newMessage();
-    message.newestObject = m_objects.newestVersion();
+    setNewestObject(message, m_objects.newestVersion());
     message.ping = std::make_unique<wire::PingT>();
     message.ping->number = number;
     message.ping->from = m_self.inner;
--- a/packages/membership/src/objectrecordencoder.cpp
+++ b/packages/membership/src/objectrecordencoder.cpp
@@ -17,7 +17,9 @@
     wire::ObjectRecordT record;
     record.kind = object.kind;
     record.name = object.name;
-    record.version = object.version;
+    record.version = object.version.revision;
+    record.edition = object.version.edition;
+    record.era = object.version.era;
     record.deleted = object.deleted;
     if (object.value.size() < MIN_COMPRESSED_VALUE_BYTES) {
         record.value = object.value;
--- a/packages/membership/src/proofexchange.cpp
+++ b/packages/membership/src/proofexchange.cpp
@@ -43,7 +43,8 @@
 void ProofExchange::add(const wire::AckT &ack, Millis sentAt, Millis now)
 {
     if (ack.proofAgeMs >= 0) {
-        m_freshness.add({ack.provedVersion, sentAt - Millis(ack.proofAgeMs)}, now);
+        const ObjectVersion version(ack.provedEdition, ack.provedEra, ack.provedVersion);
+        m_freshness.add({version, sentAt - Millis(ack.proofAgeMs)}, now);
     }
 }
 
@@ -51,7 +52,9 @@
 {
     const auto &proof = m_freshness.latest();
     if (proof && now - proof->at <= m_maxAge) {
-        ack.provedVersion = proof->version;
+        ack.provedVersion = proof->version.revision;
+        ack.provedEdition = proof->version.edition;
+        ack.provedEra = proof->version.era;
         ack.proofAgeMs = std::max(0.0, (now - proof->at).value);
     }
 }
--- a/packages/membership/src/recordstamps.cpp
+++ b/packages/membership/src/recordstamps.cpp
@@ -8,12 +8,18 @@
 
 constexpr std::uint64_t STATES = 4; ///< number of values of MemberState
 
-bool hasNewer(const std::unordered_map<std::uint64_t, std::uint64_t> &versions,
-              const std::unordered_map<std::uint64_t, std::uint64_t> &known)
+bool supersedes(std::uint64_t order, std::uint64_t known)
+{
+    return order > known;
+}
+
+template <typename Version>
+bool hasNewer(const std::unordered_map<std::uint64_t, Version> &versions,
+              const std::unordered_map<std::uint64_t, Version> &known)
 {
     return std::any_of(versions.begin(), versions.end(), [&known](const auto &entry) {
         const auto found = known.find(entry.first);
-        return found == known.end() || found->second < entry.second;
+        return found == known.end() || supersedes(entry.second, found->second);
     });
 }
 
@@ -37,8 +43,13 @@
     for (const wire::MemberStamp &stamp : pull.members) {
         m_members[stamp.incarnationLow()] = stamp.order();
     }
-    for (const wire::ObjectStamp &stamp : pull.objects) {
-        m_objects[stamp.keyHash()] = stamp.version();
+    for (std::size_t index = 0; index < pull.objects.size(); ++index) {
+        ObjectVersion version(pull.objects[index].version());
+        if (index < pull.objectOrigins.size()) {
+            version.edition = pull.objectOrigins[index].edition();
+            version.era = pull.objectOrigins[index].era();
+        }
+        m_objects[pull.objects[index].keyHash()] = version;
     }
 }
 
@@ -50,9 +61,15 @@
             pull.members.emplace_back(incarnationLow, order);
         }
     }
-    if (pull.wantObjects) {
-        for (const auto &[keyHash, version] : m_objects) {
-            pull.objects.emplace_back(keyHash, version);
+    if (!pull.wantObjects) {
+        return;
+    }
+    const bool allPlain =
+        std::all_of(m_objects.begin(), m_objects.end(), [](const auto &entry) { return entry.second.isPlain(); });
+    for (const auto &[keyHash, version] : m_objects) {
+        pull.objects.emplace_back(keyHash, version.revision);
+        if (!allPlain) {
+            pull.objectOrigins.emplace_back(version.edition, version.era);
         }
     }
 }
--- a/packages/membership/src/recordstamps.h
+++ b/packages/membership/src/recordstamps.h
@@ -29,16 +29,14 @@
     /// Whether any member's record of the other stamps is newer than here.
     bool lacksMembersOf(const RecordStamps &other) const;
     bool lacksObjectsOf(const RecordStamps &other) const;
-    const std::unordered_map<std::uint64_t, std::uint64_t> &objects() const
+    const std::unordered_map<std::uint64_t, ObjectVersion> &objects() const
     {
         return m_objects;
     }
 
 private:
-    using Versions = std::unordered_map<std::uint64_t, std::uint64_t>;
-
-    Versions m_members; ///< orders by the low half of the incarnation
-    Versions m_objects; ///< versions by the hash of the key
+    std::unordered_map<std::uint64_t, std::uint64_t> m_members; ///< orders by the low half of the incarnation
+    std::unordered_map<std::uint64_t, ObjectVersion> m_objects; ///< by the hash of the key
 };
 
 } // namespace mustardpond
--- a/packages/membership/test/antientropy_test.cpp
+++ b/packages/membership/test/antientropy_test.cpp
@@ -53,6 +53,19 @@
     EXPECT_TRUE(peer.lacksObjectsOf(RecordStamps({}, objects)));
 }
 
+TEST(RecordStampsTest, StampsOfAPullTellTheEraOfAVersion)
+{
+    ObjectTable objects;
+    objects.apply({"bundle", "main", {15, 1, 120}, false, "{}"});
+    wire::PullRequestT pull;
+    pull.wantObjects = true;
+    RecordStamps({}, objects).writeTo(pull);
+    const RecordStamps peer(pull);
+    EXPECT_TRUE(objects.newerThan(peer.objects()).empty());
+    objects.apply({"bundle", "main", {17, 2, 112}, false, "{}"});
+    EXPECT_EQ(objects.newerThan(peer.objects()).size(), 1U) << "a lower revision of a later era";
+}
+
 // Guards against the exchange of all records whenever two digests differ: under steady restarts most digests differ by
 // a few records, and the bytes that a member sends would grow with the size of the fleet.
 TEST(AntiEntropyTest, MembersWhoseDigestsDifferByOneRecordExchangeOnlyThatRecord)
--- a/packages/membership/test/membership_test.cpp
+++ b/packages/membership/test/membership_test.cpp
@@ -164,6 +164,31 @@
     }
 }
 
+// Guards against members of both eras that pull each other back and forth while the store returns from a copy.
+TEST_F(MembershipTest, AfterAReturnOfTheStoreAllMembersEndAtTheNewestVersion)
+{
+    waitForAlive(12);
+    const auto withVersion = [this](const ObjectVersion &version) {
+        return m_fleet.runUntil([&version](Membership &m) { return m.objects().version("class", "lookup") == version; },
+                                CONVERGENCE_TIME);
+    };
+    const ObjectVersion before(15, 1, 120);
+    const ObjectVersion after(17, 2, 112);
+    m_fleet.at("a0").applyObject({"class", "lookup", before, false, "{}"});
+    ASSERT_TRUE(withVersion(before));
+    m_fleet.at("a5").applyObject({"class", "lookup", {9, 2, 110}, false, "{}"});
+    m_fleet.run(Millis(5000));
+    EXPECT_TRUE(withVersion(before)) << "the copy's version has come into force";
+    m_fleet.at("a5").applyObject({"class", "lookup", after, false, "{}"});
+    EXPECT_TRUE(withVersion(after));
+    // One that read the store only while it held the copy.
+    const std::string joined = m_fleet.add(1);
+    m_fleet.at(joined).applyObject({"class", "lookup", {9, 2, 110}, false, "{}"});
+    EXPECT_TRUE(withVersion(after));
+    m_fleet.run(Millis(5000));
+    EXPECT_TRUE(withVersion(after));
+}
+
 } // namespace
 
 } // namespace mustardpond
--- a/packages/net/include/net/httpcall.h
+++ b/packages/net/include/net/httpcall.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/daemonsettings.h"
+#include "net/net.h"
 
 #include <string>
 
@@ -10,6 +11,7 @@
 struct HttpReply {
     unsigned status = 0;
     std::string body;
+    http::fields fields = {};
 };
 
 struct HttpCall {
--- a/packages/net/include/net/httpstore.h
+++ b/packages/net/include/net/httpstore.h
@@ -18,7 +18,7 @@
 
     Listing list() override;
     StoredObject read(const std::string &kind, const std::string &name) override;
-    std::uint64_t write(const StoredObject &object, std::uint64_t expectedVersion) override;
+    std::uint64_t write(const StoredObject &object, std::uint64_t expectedRevision) override;
     Listing watch(std::uint64_t revision, Millis timeout) override;
 
 private:
--- a/packages/net/src/httpcall.cpp
+++ b/packages/net/src/httpcall.cpp
@@ -28,7 +28,8 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(MAX_REPLY_BYTES);
     http::async_read(stream, buffer, parser, yield);
-    return {parser.get().result_int(), parser.get().body()};
+    http::response<http::string_body> response = parser.release();
+    return {response.result_int(), std::move(response.body()), std::move(response.base())};
 }
 
 } // namespace
--- a/packages/net/src/httpstore.cpp
+++ b/packages/net/src/httpstore.cpp
@@ -68,7 +68,9 @@
     if (reply.status != OK) {
         throwStoreOutage(reply);
     }
-    return listingFrom(reply.body);
+    Listing listing = listingFrom(reply.body);
+    listing.complete = true;
+    return listing;
 }
 
 StoredObject HttpStore::read(const std::string &kind, const std::string &name)
@@ -83,13 +85,13 @@
     return objectFrom(nlohmann::json::parse(reply.body));
 }
 
-std::uint64_t HttpStore::write(const StoredObject &object, std::uint64_t expectedVersion)
+std::uint64_t HttpStore::write(const StoredObject &object, std::uint64_t expectedRevision)
 {
-    const std::string target = fmt::format("{}?ifVersion={}", pathOf(object.kind, object.name), expectedVersion);
+    const std::string target = fmt::format("{}?ifVersion={}", pathOf(object.kind, object.name), expectedRevision);
     const HttpReply reply = call(object.deleted ? "DELETE" : "PUT", target, object.value, m_timeout);
     if (reply.status == CONFLICT) {
         const StoredObject current = objectFrom(nlohmann::json::parse(reply.body));
-        throw Conflict(fmt::format(ErrorMsg::OBJECT_CONFLICT, object.kind, object.name, current.version),
+        throw Conflict(fmt::format(ErrorMsg::OBJECT_CONFLICT, object.kind, object.name, current.version.revision),
                        current.value);
     }
     if (reply.status != OK) {
