Quotas: count the hosts that the store lists

Cause: a lender needs a majority of the hosts that it has seen alive. A process that has just started and reaches no other host has seen only itself, took itself for a majority, and lent its data centre's whole share beside the lender.

Change: the hosts of the data centre that the store lists at the start count as if they had been alive until then, for the majority and as voters. A process registers before it lists. The simulation of quotas, which had assumed this all along, uses the same function. A question to another data centre leaves out the whole version, as before the fields for eras.

No call or byte more.

--- a/packages/daemon/src/control/fleetview.h
+++ b/packages/daemon/src/control/fleetview.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -24,11 +25,19 @@
     std::uint32_t slots = 1;
 };
 
+/// The hosts that the platform's store listed when this process started. Until a process has reached its peers, this is
+/// all that it knows of the fleet.
+struct RegisteredHosts {
+    std::set<std::string> neighbours; ///< nodes of the own data centre
+    std::size_t count = 0; ///< of all data centres
+};
+
 struct FleetView {
     Member self;
     std::shared_ptr<const ConfigSnapshot> config;
     std::vector<Member> members;
     std::unordered_map<std::string, std::vector<UpstreamRef>> upstreams; ///< by service
+    std::shared_ptr<const RegisteredHosts> registered; ///< null until the store has been listed
     bool configured = false; ///< whether configuration was received from a peer or the platform
 };
 
--- a/packages/daemon/src/control/memberactor.cpp
+++ b/packages/daemon/src/control/memberactor.cpp
@@ -162,13 +162,18 @@
 
     void applyObjects(const std::vector<StoredObject> &objects)
     {
+        const bool first = m_registered == nullptr;
+        RegisteredHosts registered;
         for (const StoredObject &object : objects) {
             if (object.kind == nameOf(OBJECT_KIND_NAMES, ObjectKind::Node)) {
-                addSeed(object);
+                addSeed(object, registered);
             } else {
                 m_membership.publishObject(object);
             }
         }
+        if (first) {
+            m_registered = std::make_shared<const RegisteredHosts>(std::move(registered));
+        }
         m_membership.setSeeds(m_seeds);
         m_configured = true;
         m_changed = true;
@@ -214,10 +219,17 @@
         }
     }
 
-    void addSeed(const StoredObject &object)
+    void addSeed(const StoredObject &object, RegisteredHosts &registered)
     {
+        if (object.deleted) {
+            return;
+        }
         try {
             const NodeObject node = parseNode(object);
+            ++registered.count;
+            if (node.dataCentre == m_membership.self().dataCentre) {
+                registered.neighbours.insert(object.name);
+            }
             const bool known = std::any_of(m_seeds.begin(), m_seeds.end(),
                                            [&node](const Seed &seed) { return seed.address == node.inner; });
             if (!known) {
@@ -279,6 +291,7 @@
         view->config = m_config;
         view->self = m_membership.self();
         view->members = m_membership.members();
+        view->registered = m_registered;
         view->upstreams = listUpstreams(view->members, m_membership.self());
         view->configured = m_configured && (!m_needsBundle || m_config->routeCount() > 0);
         m_view = view;
@@ -310,6 +323,7 @@
     std::set<std::uint64_t> m_removedRecords;
     std::optional<bool> m_lastWatchRole;
     std::vector<Seed> m_seeds;
+    std::shared_ptr<const RegisteredHosts> m_registered;
     Membership m_membership;
     MemberActorOutput m_output;
     ConfigBuilder m_builder;
--- a/packages/daemon/src/quota/lenderelection.cpp
+++ b/packages/daemon/src/quota/lenderelection.cpp
@@ -32,7 +32,12 @@
 void LenderElection::update(std::shared_ptr<const QuotaDirectory> directory)
 {
     m_directory = std::move(directory);
-    m_majority.update(m_directory->aliveNeighbours(), m_directory->leftNeighbours(), m_clock.now());
+    const Millis now = m_clock.now();
+    if (!m_countsRegistered && m_directory->registered()) {
+        m_countsRegistered = true;
+        m_majority.addRegistered(m_directory->registered()->neighbours, now);
+    }
+    m_majority.update(m_directory->aliveNeighbours(), m_directory->leftNeighbours(), now);
     for (auto entry = m_substitutions.begin(); entry != m_substitutions.end();) {
         const bool ended = !entry->second.voting && !m_directory->contains(entry->first);
         entry = ended ? m_substitutions.erase(entry) : std::next(entry);
--- a/packages/daemon/src/quota/lenderelection.h
+++ b/packages/daemon/src/quota/lenderelection.h
@@ -65,6 +65,7 @@
     QuotaPeers &m_peers;
     std::shared_ptr<const QuotaDirectory> m_directory = std::make_shared<QuotaDirectory>();
     LenderMajority m_majority;
+    bool m_countsRegistered = false; ///< whether the hosts that the store listed have been added
     LenderLease m_lease;
     LenderVotes m_votes;
     bool m_renewing = false;
--- a/packages/daemon/src/quota/quotadirectory.cpp
+++ b/packages/daemon/src/quota/quotadirectory.cpp
@@ -6,6 +6,7 @@
     : m_self(view.self.node)
     , m_dataCentre(view.self.dataCentre)
     , m_leaving(!acceptsRequests(view.self))
+    , m_registered(view.registered)
 {
     for (const Member &member : view.members) {
         const bool neighbour = member.dataCentre == m_dataCentre;
--- a/packages/daemon/src/quota/quotadirectory.h
+++ b/packages/daemon/src/quota/quotadirectory.h
@@ -37,6 +37,11 @@
     {
         return m_left;
     }
+    /// Members of this data centre that the store listed when this process started; null until then.
+    std::shared_ptr<const RegisteredHosts> registered() const
+    {
+        return m_registered;
+    }
     bool isInOwnRegion(const std::string &dataCentre) const
     {
         return m_ownRegion.count(dataCentre) > 0;
@@ -63,6 +68,7 @@
     std::map<std::string, std::string> m_addresses; ///< by node
     std::set<std::string> m_alive;
     std::set<std::string> m_left;
+    std::shared_ptr<const RegisteredHosts> m_registered;
     std::set<std::string> m_ownRegion; ///< data centres
 };
 
--- a/packages/daemon/test/quotalender_test.cpp
+++ b/packages/daemon/test/quotalender_test.cpp
@@ -25,8 +25,10 @@
         setMembers({"a"});
         m_clock.advance(Millis(60000));
     }
-    void restart()
+    /// @param registered the nodes of the data centre that the store lists
+    void restart(std::set<std::string> registered = {})
     {
+        m_registered = std::make_shared<const RegisteredHosts>(RegisteredHosts{std::move(registered), 0});
         m_lender = std::make_unique<QuotaLender>(m_context, m_clock, m_settings);
         m_lender->setOrganisations(
             [this](const std::string &) { return std::make_shared<const Organisation>(m_organisation); });
@@ -35,6 +37,7 @@
     void setMembers(const std::vector<std::string> &nodes)
     {
         FleetView view;
+        view.registered = m_registered;
         for (const std::string &node : nodes) {
             Member member;
             member.node = node;
@@ -64,6 +67,7 @@
     DaemonSettings m_settings;
     Organisation m_organisation;
     bool m_hasProof = true;
+    std::shared_ptr<const RegisteredHosts> m_registered;
     std::unique_ptr<QuotaLender> m_lender;
 };
 
@@ -92,6 +96,18 @@
     EXPECT_EQ(ask("vakif").granted, 1U);
 }
 
+// Guards against a restarted host that reaches the store but no other host: it lent the data centre's whole share
+// beside the lender.
+TEST_F(QuotaLenderTest, LendsNothingUntilItReachesMostOfTheRegisteredHosts)
+{
+    restart({"a", "b", "c"});
+    m_clock.advance(Millis(3000));
+    EXPECT_TRUE(ask("vakif").unavailable);
+    restart({"a"});
+    m_clock.advance(Millis(3000));
+    EXPECT_FALSE(ask("vakif").unavailable) << "it is the only host of the data centre";
+}
+
 // A host with an old configuration would go on lending by a limit that has been lowered.
 TEST_F(QuotaLenderTest, LendsNothingWithoutAProofOrForAnUnknownOrganisation)
 {
--- a/packages/decision/include/decision/quotalenders.h
+++ b/packages/decision/include/decision/quotalenders.h
@@ -51,13 +51,16 @@
 };
 
 /// Whether more than half of the node names that were alive within the last 10 s still are. A host that is cut off from
-/// its data centre would take over all organisations otherwise, and admit their limits a second time.
+/// its data centre would take over all organisations otherwise, and admit their limits a second time. A host that has
+/// just started has seen nobody alive, so it counts the hosts that the store lists.
 class LenderMajority
 {
 public:
     /// @param alive nodes of the data centre that are alive now
     /// @param left nodes that have left as planned, which do not count any more
     void update(const std::set<std::string> &alive, const std::set<std::string> &left, Millis now);
+    /// Counts nodes as if they had been alive until now. To be called before update().
+    void addRegistered(const std::set<std::string> &nodes, Millis now);
     bool holds(Millis now) const;
     /// Returns the nodes that are alive or were within the last 10 s.
     std::set<std::string> known(Millis now) const;
--- a/packages/decision/src/quotalenders.cpp
+++ b/packages/decision/src/quotalenders.cpp
@@ -89,6 +89,13 @@
     return since;
 }
 
+void LenderMajority::addRegistered(const std::set<std::string> &nodes, Millis now)
+{
+    for (const std::string &node : nodes) {
+        m_lastAlive.emplace(node, now);
+    }
+}
+
 void LenderMajority::update(const std::set<std::string> &alive, const std::set<std::string> &left, Millis now)
 {
     for (const std::string &node : m_alive) {
--- a/packages/decision/test/quotabucket_test.cpp
+++ b/packages/decision/test/quotabucket_test.cpp
@@ -151,6 +151,20 @@
     EXPECT_TRUE(majority.holds(Millis(2500))) << "the others have left as planned";
 }
 
+// Guards against a host that starts while it is cut off, knows only itself, and takes itself for a majority.
+TEST(LenderMajorityTest, AHostThatHasSeenNobodyCountsThoseThatTheStoreLists)
+{
+    LenderMajority majority;
+    majority.addRegistered({"a", "b", "c"}, Millis(0));
+    majority.update({"a"}, {}, Millis(0));
+    EXPECT_FALSE(majority.holds(Millis(2500)));
+    EXPECT_EQ(majority.known(Millis(2500)).size(), 3U) << "the voters that it has to ask";
+    majority.update({"a"}, {"b"}, Millis(3000));
+    EXPECT_FALSE(majority.holds(Millis(3000)));
+    majority.update({"a", "c"}, {"b"}, Millis(4000));
+    EXPECT_TRUE(majority.holds(Millis(4000)));
+}
+
 } // namespace
 
 } // namespace mustardpond
--- a/packages/decision/test/quotaschedule_test.cpp
+++ b/packages/decision/test/quotaschedule_test.cpp
@@ -160,7 +160,7 @@
         host.index = index;
         host.detection = Millis(1500 + 3000 * m_random.uniform());
         host.terms = std::make_unique<LenderTerms>(NODES[index], m_now);
-        host.majority.update({NODES.begin(), NODES.end()}, {}, m_now); // the store has records of all
+        host.majority.addRegistered({NODES.begin(), NODES.end()}, m_now);
         for (Millis &seenAt : host.seenAt) {
             seenAt = Millis(-1e6);
         }
--- a/packages/membership/src/membershipproofs.cpp
+++ b/packages/membership/src/membershipproofs.cpp
@@ -31,7 +31,7 @@
     const Member &target = m_members[key].member;
     wire::GossipT message = newPing(number, key);
     if (target.dataCentre != m_self.dataCentre && !m_proofs->freshness().isMissingVersion()) {
-        message.newestObject = 0; // objects come from the data centre, not over paid links
+        message.newestObject = message.newestEdition = message.newestEra = 0; // objects come from the data centre, not over paid links
     }
     m_proofs->onAsked(number, key, now);
     out.push_back({target.inner, std::move(message)});
