Configuration: standbys for watchers that do not answer

Cause: a watcher counted as one until the failure detector held it for dead, 4 to 5 s later.

Change: the next three hosts of the rank are standbys. Each asks both watchers every 400 ms; one that has not answered for 1.1 s is silent, be it cut off, suspended or slow. The first standby reads the store if one watcher is silent, the others if both are. Silence makes nobody a suspect.

--- a/packages/daemon/src/control/memberactor.cpp
+++ b/packages/daemon/src/control/memberactor.cpp
@@ -21,6 +21,8 @@
 
 constexpr Millis MIN_SLEEP{2};
 constexpr Millis MAX_SLEEP{5000};
+/// How long a standby goes on to watch after it was last needed. Each start of a watch lists all objects.
+constexpr Millis STANDBY_DUTY{5000};
 constexpr Millis DEAD_RECORD_RETENTION{10000}; ///< of a dead daemon's record in the store
 constexpr const char FROM_STORE[] = "store";
 
@@ -98,6 +100,7 @@
     void tick()
     {
         send(m_membership.tick(m_clock.now()));
+        updateStandby();
         removeDeadRecords();
         publishChanges();
     }
@@ -124,7 +127,7 @@
             return std::nullopt;
         }
         m_lastWatchRole = watching;
-        logEvent(Event::WatchChanged, {{"watches", watching}});
+        logEvent(Event::WatchChanged, {{"watches", watching}, {"standby", m_replacesWatchers}});
         return watching;
     }
 
@@ -198,10 +201,38 @@
 
     bool watches() const
     {
-        return watchesPlatform(m_view->members, m_view->self);
+        return m_replacesWatchers || watchesPlatform(m_view->members, m_view->self);
     }
 
 private:
+    void updateStandby()
+    {
+        const Millis now = m_clock.now();
+        const WatcherMonitor &monitor = m_membership.watcherMonitor();
+        if (m_standbyPlace && replacesWatchers(*m_standbyPlace, monitor.count(), monitor.countSilent(now))) {
+            m_replacesUntil = now + STANDBY_DUTY;
+        }
+        const bool replaces = m_standbyPlace && now < m_replacesUntil;
+        m_changed = m_changed || replaces != m_replacesWatchers;
+        m_replacesWatchers = replaces;
+    }
+
+    void updateStandbyPlace()
+    {
+        m_standbyPlace = standbyPlaceOf(m_view->members, m_view->self);
+        m_membership.watcherMonitor().setWatchers(m_standbyPlace ? watcherKeys() : std::vector<std::string>(),
+                                                  m_clock.now());
+    }
+
+    std::vector<std::string> watcherKeys() const
+    {
+        std::vector<std::string> keys;
+        for (const Incarnation &incarnation : watchersOf(m_view->members, m_view->self.dataCentre)) {
+            keys.push_back(toString(incarnation));
+        }
+        return keys;
+    }
+
     void removeDeadRecords()
     {
         const Millis now = m_clock.now();
@@ -296,6 +327,7 @@
         view->configured = m_configured && (!m_needsBundle || m_config->routeCount() > 0);
         m_view = view;
         m_output.publish(m_view);
+        updateStandbyPlace();
         updateProofs();
     }
 
@@ -305,11 +337,7 @@
         if (!proofs) {
             return;
         }
-        std::vector<std::string> watchers;
-        for (const Incarnation &incarnation : watchersOf(m_view->members, m_view->self.dataCentre)) {
-            watchers.push_back(toString(incarnation));
-        }
-        proofs->setWatchers(std::move(watchers));
+        proofs->setWatchers(watcherKeys());
         proofs->setNeeded(hasOrganisations(*m_view->config));
         proofs->freshness().setWatcher(watches());
         proofs->freshness().setApplied(bundleVersion(*m_view->config));
@@ -322,6 +350,9 @@
     std::map<std::uint64_t, Millis> m_deadSince; ///< by the low half of the incarnation
     std::set<std::uint64_t> m_removedRecords;
     std::optional<bool> m_lastWatchRole;
+    std::optional<std::size_t> m_standbyPlace;
+    Millis m_replacesUntil;
+    bool m_replacesWatchers = false; ///< whether this node watches as a standby
     std::vector<Seed> m_seeds;
     std::shared_ptr<const RegisteredHosts> m_registered;
     Membership m_membership;
--- a/packages/daemon/test/platformroles_test.cpp
+++ b/packages/daemon/test/platformroles_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <set>
 
 namespace mustardpond {
 
@@ -47,6 +48,32 @@
     EXPECT_EQ(watchers, 6);
 }
 
+TEST(PlatformRolesTest, TheNextThreeMembersOfEachDataCentreAreStandbys)
+{
+    auto members = fleet(3, 7);
+    std::multiset<std::size_t> places;
+    for (const Member &member : members) {
+        const auto place = standbyPlaceOf(members, member);
+        EXPECT_FALSE(place && watchesPlatform(members, member));
+        if (place) {
+            places.insert(*place);
+        }
+    }
+    EXPECT_EQ(places, (std::multiset<std::size_t>{0, 0, 0, 1, 1, 1, 2, 2, 2}));
+    setSeesPlatform(members, false);
+    EXPECT_FALSE(standbyPlaceOf(members, members.front())) << "it could not read the store";
+}
+
+// More readers than needed cost calls to the store.
+TEST(PlatformRolesTest, TheFirstStandbyReplacesOneSilentWatcherTheOthersAllOfThem)
+{
+    EXPECT_FALSE(replacesWatchers(0, 2, 0));
+    EXPECT_TRUE(replacesWatchers(0, 2, 1));
+    EXPECT_FALSE(replacesWatchers(1, 2, 1));
+    EXPECT_TRUE(replacesWatchers(1, 2, 2));
+    EXPECT_FALSE(replacesWatchers(1, 0, 0)) << "nobody to replace";
+}
+
 TEST(PlatformRolesTest, WatchersOfTheSameDataCentreRemoveTheRecordOfADeadMember)
 {
     auto members = fleet(6, 15);
--- a/packages/membership/include/membership/membership.h
+++ b/packages/membership/include/membership/membership.h
@@ -7,6 +7,7 @@
 #include "membership/objectrecordencoder.h"
 #include "membership/proofexchange.h"
 #include "membership/rumours.h"
+#include "membership/watchermonitor.h"
 
 #include <map>
 #include <optional>
@@ -80,6 +81,14 @@
     {
         return m_proofs ? &*m_proofs : nullptr;
     }
+    WatcherMonitor &watcherMonitor()
+    {
+        return m_watcherMonitor;
+    }
+    const WatcherMonitor &watcherMonitor() const
+    {
+        return m_watcherMonitor;
+    }
     /// Returns the time of the next tick() that has work to do.
     Millis nextDue() const;
 
@@ -137,6 +146,7 @@
     std::string reconnectAddress();
     void pullFromSeeds(std::vector<OutgoingGossip> &out);
     void askForProof(Millis now, std::vector<OutgoingGossip> &out);
+    void checkWatchers(Millis now, std::vector<OutgoingGossip> &out);
     /// Returns the member to ask: one of the kind, or else of the next kind that has members.
     std::string proofTarget(ProofPeer kind);
     std::vector<std::string> proofPeers(ProofPeer kind) const;
@@ -176,6 +186,7 @@
     std::vector<StoredObject> m_objectChanges;
     bool m_synced = false;
     std::optional<ProofExchange> m_proofs;
+    WatcherMonitor m_watcherMonitor;
     std::vector<std::string> m_objectsToPush; ///< keys of published objects not yet sent to the data centre
 };
 
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -114,6 +114,7 @@
         }
     }
     askForProof(now, out);
+    checkWatchers(now, out);
     pushObjects(out);
     if (now >= m_nextRumour) {
         m_nextRumour = now + m_timings.rumourPeriod;
@@ -131,7 +132,7 @@
     if (!m_objectsToPush.empty()) {
         return Millis();
     }
-    Millis due = std::min(m_nextProbe, m_nextDigest);
+    Millis due = std::min({m_nextProbe, m_nextDigest, m_watcherMonitor.nextDue()});
     if (!m_memberRumours.empty() || !m_objectRumours.empty()) {
         due = std::min(due, m_nextRumour);
     }
@@ -370,6 +371,7 @@
     if (m_proofs) {
         m_proofs->onAnswer(ack, now);
     }
+    m_watcherMonitor.onAnswer(ack);
     if (!m_probe || m_probe->number != ack.number || m_probe->key != ack.target) {
         return;
     }
--- a/packages/membership/src/membershipproofs.cpp
+++ b/packages/membership/src/membershipproofs.cpp
@@ -1,4 +1,5 @@
-/// The part of Membership that asks other members for proofs that the configuration is the newest.
+/// The part of Membership that asks other members whether the configuration is the newest, and checks on those that
+/// read the platform's store.
 #include "membership/membership.h"
 
 #include <algorithm>
@@ -31,12 +32,25 @@
     const Member &target = m_members[key].member;
     wire::GossipT message = newPing(number, key);
     if (target.dataCentre != m_self.dataCentre && !m_proofs->freshness().isMissingVersion()) {
-        message.newestObject = message.newestEdition = message.newestEra = 0; // objects come from the data centre, not over paid links
+        message.newestObject = message.newestEdition = message.newestEra =
+            0; // objects come from the data centre, not over paid links
     }
     m_proofs->onAsked(number, key, now);
     out.push_back({target.inner, std::move(message)});
 }
 
+void Membership::checkWatchers(Millis now, std::vector<OutgoingGossip> &out)
+{
+    for (const std::string &key : m_watcherMonitor.takeDue(now)) {
+        const auto target = m_members.find(key);
+        if (target != m_members.end()) {
+            const std::uint64_t number = m_nextProbeNumber++;
+            m_watcherMonitor.onAsked(number, key, now);
+            out.push_back({target->second.member.inner, newPing(number, key)});
+        }
+    }
+}
+
 std::string Membership::proofTarget(ProofPeer kind)
 {
     for (unsigned step = 0; step < PROOF_PEER_KINDS; ++step) {
