Router: no body after HEAD in answers of its own

Cause: CallerSession::replyText did not look at the method; the local endpoint did not either.

Change: both leave the body out after HEAD and keep its length in the head.

--- a/packages/daemon/src/control/localendpoint.cpp
+++ b/packages/daemon/src/control/localendpoint.cpp
@@ -111,6 +111,9 @@
         response.version(request.version());
         response.keep_alive(request.keep_alive());
         response.prepare_payload();
+        if (request.method() == http::verb::head) {
+            response.body().clear(); // the length of what a GET would get stays in the head
+        }
         http::async_write(stream, response, yield);
         if (!response.keep_alive()) {
             return;
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -517,6 +517,9 @@
 {
     response.keep_alive(keepAlive());
     response.prepare_payload();
+    if (m_parser->get().method() == http::verb::head) {
+        response.body().clear(); // the length of what a GET would get stays in the head
+    }
     m_stream.expires_after(toDuration(CALLER_WRITE_TIMEOUT));
     ErrorCode error;
     http::async_write(m_stream, response, yield[error]);
