Retries: divide the fleet's bound by the routers that are out of reach, too

Cause: a router divides the bound of requests that are sent again by the routers that it knows to be alive. One that is cut off from the others, or starts while it is, took itself for the only one and might use up the bound of the whole fleet; so might each other one in its place.

--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -38,7 +38,7 @@
 
     void update(std::shared_ptr<const FleetView> view)
     {
-        m_table.update(std::move(view));
+        m_table.update(std::move(view), m_clock.now());
     }
     /// Limits the requests of organisations from now on.
     void setQuota(std::unique_ptr<QuotaClient> quota)
--- a/packages/daemon/src/router/routingtable.cpp
+++ b/packages/daemon/src/router/routingtable.cpp
@@ -53,9 +53,10 @@
 
 } // namespace
 
-void RoutingTable::update(std::shared_ptr<const FleetView> view)
+void RoutingTable::update(std::shared_ptr<const FleetView> view, Millis now)
 {
     m_view = std::move(view);
+    countRouters(now);
     for (const auto &[service, upstreams] : m_view->upstreams) {
         updateService(service, upstreams);
     }
@@ -68,16 +69,25 @@
     }
 }
 
+void RoutingTable::countRouters(Millis now)
+{
+    if (m_view->registered && !m_countsRegistered) {
+        m_countsRegistered = true;
+        m_routers.update(m_view->registered->count, now);
+    }
+    m_routers.update(
+        static_cast<std::size_t>(std::count_if(m_view->members.begin(), m_view->members.end(), acceptsRequests)), now);
+    m_sharedBy = m_routers.count(now);
+}
+
 RetryLimits RoutingTable::retryLimitsPerRouter() const
 {
     // In any window, the retries of a router are bounded by its burst plus its share of the first attempts, so the sum
     // over all routers stays within the fleet's bounds however the requests are distributed.
-    const auto routers =
-        static_cast<double>(std::count_if(m_view->members.begin(), m_view->members.end(), acceptsRequests));
     RetryLimits limits;
     limits.share = m_retryLimits.share * RETRY_SHARE_MARGIN;
     if (m_retryLimits.extra > 0) {
-        limits.burst = std::max(1.0, m_retryLimits.extra * RETRY_BURST_MARGIN / std::max(1.0, routers));
+        limits.burst = std::max(1.0, m_retryLimits.extra * RETRY_BURST_MARGIN / static_cast<double>(m_sharedBy));
     }
     return limits;
 }
--- a/packages/daemon/src/router/routingtable.h
+++ b/packages/daemon/src/router/routingtable.h
@@ -6,6 +6,7 @@
 #include "decision/detector.h"
 #include "decision/placement.h"
 #include "decision/retrybudget.h"
+#include "decision/routercount.h"
 #include "decision/sequentialdetector.h"
 #include "fleetview.h"
 
@@ -46,7 +47,7 @@
     {
         m_retryLimits = limits;
     }
-    void update(std::shared_ptr<const FleetView> view);
+    void update(std::shared_ptr<const FleetView> view, Millis now);
     const std::shared_ptr<const FleetView> &view() const
     {
         return m_view;
@@ -117,6 +118,8 @@
 
     ServiceState &stateOf(const std::string &service);
     static void countEnd(UpstreamState &upstream, const AttemptStart &start);
+    void countRouters(Millis now);
+    RetryLimits retryLimitsPerRouter() const;
     void updateService(const std::string &name, const std::vector<UpstreamRef> &upstreams);
     Candidate candidateFor(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass, Millis now);
     PlacementCandidate placementCandidateFor(ServiceState &state, const UpstreamRef &ref, const WorkClass &workClass,
@@ -126,7 +129,9 @@
     Detection m_detection;
     DetectionProfile m_profile;
     FleetRetryLimits m_retryLimits;
-    RetryLimits retryLimitsPerRouter() const;
+    RouterCount m_routers;
+    bool m_countsRegistered = false; ///< whether the hosts that the store listed have been counted
+    std::size_t m_sharedBy = 1; ///< routers, as of the last update
     Random &m_random;
     std::shared_ptr<const FleetView> m_view = std::make_shared<FleetView>();
     std::map<std::string, ServiceState> m_services;
--- a/packages/daemon/test/routingtable_test.cpp
+++ b/packages/daemon/test/routingtable_test.cpp
@@ -37,7 +37,7 @@
     {
         auto view = std::make_shared<FleetView>();
         view->upstreams[SERVICE] = {upstream("near", Distance::SameDataCentre), upstream("far", Distance::OtherRegion)};
-        m_table.update(view);
+        m_table.update(view, NOW);
     }
 
     void answer(const std::string &id, const std::string &className, Millis time)
@@ -101,7 +101,7 @@
 {
     auto view = std::make_shared<FleetView>();
     view->upstreams[SERVICE] = {upstream("one", Distance::SameDataCentre), upstream("two", Distance::SameDataCentre)};
-    m_table.update(view);
+    m_table.update(view, NOW);
     const std::vector<AttemptStart> starts = {
         {1, "one", "c", {}, "hot"}, {2, "one", "c", {}, "hot"}, {3, "two", "c", {}, "x"}, {4, "two", "c", {}, "y"}};
     for (const AttemptStart &start : starts) {
@@ -116,6 +116,27 @@
     EXPECT_GT(atOther, 40);
 }
 
+/// Guards against a router that starts while it reaches no other: each such router took the fleet's whole bound of
+/// requests that are sent again.
+TEST_F(RoutingTableTest, ARouterThatKnowsNobodySharesTheBoundWithTheRegisteredHosts)
+{
+    RoutingTable table(Detection::Gates, profileForCost(10), m_random);
+    table.setRetryLimits({1, 100, Millis(10000)});
+    auto view = std::make_shared<FleetView>();
+    view->members = {Member()};
+    view->registered = std::make_shared<const RegisteredHosts>(RegisteredHosts{{}, 20});
+    table.update(view, NOW);
+    for (int attempt = 0; attempt < 1000; ++attempt) {
+        table.retryBudget(SERVICE).onFirstAttempt();
+    }
+    int retries = 0;
+    while (table.retryBudget(SERVICE).tryConsumeRetry()) {
+        ++retries;
+    }
+    EXPECT_LE(retries, 100 / 20);
+    EXPECT_GE(retries, 1);
+}
+
 /// Guards against upstreams that look full for ever, and against memory that grows, after callers have left.
 TEST_F(RoutingTableTest, ForgetsAttemptsWhoseCallersLeft)
 {
