Tests: settings_test waits until a daemon has the version before the outage

Trace: both watchers applied version 17 at 7.649 s and lost the store at 7.680 s; version 18 was written in between and read by nobody, so no daemon could have it during the outage, and the test waited for it in vain.

Change: before the outage, one daemon other than the one that is killed has to have the version. What is checked afterwards is the same: all daemons, the restarted one too, have it, and none goes back.

--- a/tests/process/settings_test.sh
+++ b/tests/process/settings_test.sh
@@ -15,6 +15,9 @@
         [ "$(versionAt "$r" "$h")" = "$1" ] || return 1
     done
 }
+otherNodeHasVersion() { # version: whether a daemon has it that is not the one restarted below
+    [ "$(versionAt "$NEAR" 2)" = "$1" ] || [ "$(versionAt "$FAR" 1)" = "$1" ]
+}
 watchVersions() { # reports each node whose version decreases, in $OUT/reverted
     local host r h previous current
     declare -A previousVersions
@@ -63,6 +66,8 @@
 
 ctl set class roadside-lookup latencyTargetMs=200
 version=$(storedVersion)
+# Whoever restarts during the outage can only learn the version from a daemon that has read it.
+waitFor 6 otherNodeHasVersion "$version"
 setPlatform down
 kill -KILL "${DAEMON_PIDS[$NEAR.1]}"
 launchDaemon "$NEAR" 1
