--- a/review/standins-3/client.cpp
+++ b/review/standins-3/client.cxx
@@ -2,7 +2,7 @@
 // kept connections, and writes one line for each: time of sending, id, status (0 for no answer), time of the answer.
 // A new thread per request would hide nothing, so each connection is one thread; a request waits for a free one.
 // Usage: client OUTBOUND METHOD PATH HOST PREFIX PER-SECOND SECONDS CONNECTIONS TIMEOUT-MS [KEY]
-#include "http.h"
+#include "http.hpp"
 #include <atomic>
 #include <csignal>
 #include <thread>
--- a/review/standins-3/store.cpp
+++ b/review/standins-3/store.cxx
@@ -1,6 +1,6 @@
 // Stand-in for the platform's metadata store, as the users' PROTOCOL.md describes it: objects by kind and name, one
 // revision counter, conditional writes, lists and watches. It does nothing wrong. Usage: store LISTEN
-#include "http.h"
+#include "http.hpp"
 #include <condition_variable>
 #include <csignal>
 #include <map>
--- a/review/standins-3/upstream.cpp
+++ b/review/standins-3/upstream.cxx
@@ -4,7 +4,7 @@
 // A request's path tells what it does: .../run-MS works MS milliseconds; .../run-MS/call-MS then makes a call of its
 // own and works again. It does not drop a request when its connection closes (PROTOCOL.md: "most upstreams" do).
 // Usage: upstream ID SERVICE LISTEN CONTROL OUTBOUND SLOTS [CALL-HOST CALL-PATH]
-#include "http.h"
+#include "http.hpp"
 #include <atomic>
 #include <csignal>
 #include <thread>
