--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -2,7 +2,7 @@
 # Case 14: a node is killed and started again while the upstream beside it runs accepted requests. The calls that these
 # make afterwards, which carry no key as PROTOCOL.md says, are answered 401.
 HERE=$(cd "$(dirname "$0")" && pwd)
-BASE=112
+BASE=$((160 + RANDOM % 90))
 . "$HERE/../standins-3/common.sh"
 # The sections that deploy/settings.json gives where the site has tenants and quotas, with the bounds of tvsz-checkin.
 EXTRA_SETTINGS='"keys": {"strict": true, "maxProofAgeMs": 5000},
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 OUT=target/review-3
 mkdir -p "$OUT"
-for program in store upstream client silentproxy; do
+for program in store upstream client silentproxy fetch; do
     g++ -std=c++17 -O2 -Wall -Wextra -pthread "review/standins-3/$program.cxx" -o "$OUT/$program"
 done
 echo "built the stand-ins in $OUT"
--- a/review/standins-3/common.sh
+++ b/review/standins-3/common.sh
@@ -1,4 +1,4 @@
-# Functions that start a small deployment for a case. A case sets HERE to its folder and BASE to a number of its own
+# Functions that start a small deployment for a case. A case sets HERE to its folder and BASE to a number from 1 to 254
 # before it sources this file. It runs from the repository's root, with the program of the deploy file and the stand-ins
 # that review/build-3.sh has built. All addresses are loopback addresses 127.1.BASE.HOST.
 set -uo pipefail
@@ -38,9 +38,11 @@
         sleep 0.1
     done
 }
-for program in "$DAEMON" "$STANDINS"/store "$STANDINS"/upstream "$STANDINS"/client "$STANDINS"/silentproxy; do
+for program in "$DAEMON" "$STANDINS"/store "$STANDINS"/upstream "$STANDINS"/client "$STANDINS"/silentproxy "$STANDINS"/fetch; do
     [ -x "$program" ] || cannotRun "$program has not been built (deploy file's build, then review/build-3.sh)"
 done
+# Another network if this one is in use, as by another case.
+while "$STANDINS/fetch" GET "127.1.$BASE.250:7400" /objects/config 1 "" >/dev/null; do BASE=$((160 + RANDOM % 90)); done
 STORE=127.1.$BASE.250:7400
 PLATFORM=$STORE # where the daemons reach the store
 EXTRA_SETTINGS='' # of the deploy template's sections that the deployment has
@@ -60,17 +62,17 @@
     MUSTARDPOND_SETTINGS=$OUT/settings-$1.json start "daemon-$1" "$DAEMON"
     DAEMON_PIDS[$1]=$LAST_PID
 }
-isReady() { curl -sf -m 1 "http://127.1.$BASE.$1:8625/ready"; }
+isReady() { "$STANDINS/fetch" GET "127.1.$BASE.$1:8625" /ready 1 ""; }
 startStore() {
     start store "$STANDINS/store" "$STORE"
-    waitFor 10 curl -sf "http://$STORE/objects/config" || cannotRun "the store does not start"
+    waitFor 10 "$STANDINS/fetch" GET "$STORE" /objects/config 1 "" || cannotRun "the store does not start"
 }
 createConfiguration() {
-    curl -sf -X POST -d "{\"metadata\": {\"name\": \"main\"}, \"spec\": $1}" "http://$STORE/objects/config" >/dev/null
+    "$STANDINS/fetch" POST "$STORE" /objects/config 2 "{\"metadata\": {\"name\": \"main\"}, \"spec\": $1}" >/dev/null
 }
 # Writes the configuration in its argument; prints the time at which the store has acknowledged it, in milliseconds.
 writeConfiguration() {
-    curl -sf -X PUT -d "{\"metadata\": {\"name\": \"main\"}, \"spec\": $1}" "http://$STORE/objects/config/main" \
+    "$STANDINS/fetch" PUT "$STORE" /objects/config/main 2 "{\"metadata\": {\"name\": \"main\"}, \"spec\": $1}" \
         >/dev/null || return 1
     now
 }
