Gate: remember a request until its upstream has ended it, also across a restart

What callers saw: a daemon was killed and started again while its upstream ran 30 requests. Each request then made a call of its own, without a key, and all 30 calls got 401, which is final, so the accepted work ended with 500. The same happened to the calls of requests whose caller had left. In a stop with the successor started at once, the calls found no listener.

Cause: a call counted as an upstream's own only while the gate's process held a connection for the request that the call's id names. The upstream goes on without that connection: after a kill, after a caller has left, after a slow run was moved or an exchange was given up. A stopping daemon closed the callers' address after 2.5 s, although its gate served requests for up to 5.4 s.

Change: RunningRequests keeps a run until its answer is complete, or until its deadline if the end was not seen, for the upstream's start that runs it. Routers keep what they have sent as well; RunReporter tells a gate that was started anew. A call whose parent nobody has named waits for up to 1 s within 3 s of the start and is answered 503 with Retry-After until the longest timeout has passed since the start; it never runs for its id alone. The callers' address stays open in a stop while the gate's upstream runs a request. Bounds: 8,192 kept runs for each role, 1,024 runs in a report.

keys_test: a call with an unknown parent is 401 only once the daemon is older than the longest timeout, so the check waits for that; the answer before is checked by lostruns_test.

Measured: process.platform_lostruns_test failed before on the parts killed, killed twice, left, all hosts killed and an unknown parent (5 of 5, 5 of 5, 10 of 10 calls 401, 5 of 5); it passes.

--- a/packages/daemon/src/control/fleetview.cpp
+++ b/packages/daemon/src/control/fleetview.cpp
@@ -27,7 +27,8 @@
                 continue;
             }
             byService[upstream.service].push_back({upstream.id, member.node, member.inner, member.incarnation,
-                                                   distanceBetween(self, member), upstream.state, upstream.slots});
+                                                   distanceBetween(self, member), upstream.state, upstream.slots,
+                                                   upstream.born});
         }
     }
     return byService;
--- a/packages/daemon/src/control/fleetview.h
+++ b/packages/daemon/src/control/fleetview.h
@@ -23,6 +23,7 @@
     Distance distance = Distance::SameDataCentre;
     UpstreamState state = UpstreamState::Ready;
     std::uint32_t slots = 1;
+    std::uint64_t born = 0; ///< start time in Unix milliseconds; 0 when it is unknown
 };
 
 /// The hosts that the platform's store listed when this process started. Until a process has reached its peers, this is
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -110,9 +110,7 @@
     router->dispatchContext().quarantineStatus = [this, gate = gate.get()](std::uint64_t fingerprint) {
         return gate->context().quarantine.status(fingerprint, m_clock.now());
     };
-    router->dispatchContext().isRunningLocally = [gate = gate.get()](const std::string &id) {
-        return gate->context().runningRequests.contains(id);
-    };
+    router->dispatchContext().running = &gate->context().runningRequests;
     auto lastRequested = std::make_shared<std::map<std::string, Millis>>();
     router->onSaturation([this, lastRequested, router = router.get(),
                           control = control.get()](const std::string &service, const std::string &workClass) {
@@ -212,6 +210,8 @@
     m_kernel.find<ControlPlane>(CONTROL)->leave();
     gate->leave();
     waitWhile(always, std::min(STOP_ACCEPTING_DELAY, drainTime));
+    router->limitToStop();
+    waitWhile([&] { return gate->isBusy(); }, drainTime); // upstreams still make calls for the requests that they run
     router->stopAccepting(yield);
     waitWhile([&] { return gate->isBusy() || !router->isIdle(); }, drainTime);
     router->abortPending();
--- a/packages/daemon/src/gate/gate.cpp
+++ b/packages/daemon/src/gate/gate.cpp
@@ -4,6 +4,10 @@
 #include "scopedcount.h"
 #include "slotreservation.h"
 
+#include "foundation/events.h"
+
+#include <nlohmann/json.hpp>
+
 namespace mustardpond {
 
 namespace {
@@ -70,6 +74,8 @@
         return openOperation(channel, *frame.body.AsOpenOperation(), yield);
     case wire::Body::CloseOperation:
         return closeOperation(channel, *frame.body.AsCloseOperation(), yield);
+    case wire::Body::RunReport:
+        return restoreRuns(channel, *frame.body.AsRunReport(), yield);
     case wire::Body::Gossip:
         if (m_onGossip) {
             m_onGossip(std::make_shared<const wire::GossipT>(std::move(*frame.body.AsGossip())));
@@ -121,6 +127,24 @@
     run.runReserved(reservation.grantedAt(), yield);
 }
 
+void Gate::restoreRuns(FrameChannel &channel, const wire::RunReportT &report, const Yield &yield)
+{
+    const Incarnation receiver{report.incarnationHigh, report.incarnationLow};
+    if (receiver != m_gate.incarnation) { // of its own runs, this process knows more than the sender
+        const Millis now = m_gate.clock.now();
+        for (const wire::RunStamp &run : report.runs) {
+            m_gate.runningRequests.restore({report.upstream, report.born}, {run.idHigh(), run.idLow()},
+                                           now + Millis(run.leftMs()));
+        }
+        logEvent(Event::RunsRestored, {{"upstream", report.upstream}, {"runs", report.runs.size()}});
+    }
+    wire::RunReportReplyT reply;
+    reply.request = report.request;
+    reply.incarnationHigh = m_gate.incarnation.high;
+    reply.incarnationLow = m_gate.incarnation.low;
+    channel.send(packMessage(std::move(reply)), SEND_TIMEOUT, yield);
+}
+
 void Gate::openOperation(FrameChannel &channel, const wire::OpenOperationT &request, const Yield &yield)
 {
     wire::OperationOpenedT reply;
--- a/packages/daemon/src/gate/gate.h
+++ b/packages/daemon/src/gate/gate.h
@@ -59,6 +59,7 @@
     void closeOperation(FrameChannel &channel, const wire::CloseOperationT &request, const Yield &yield);
     void runRequest(FrameChannel &channel, wire::ProxyRequestT request, const Yield &yield);
     void reserveSlot(FrameChannel &channel, const wire::ReserveT &reserve, const Yield &yield);
+    void restoreRuns(FrameChannel &channel, const wire::RunReportT &report, const Yield &yield);
 
     GateContext m_gate;
     std::shared_ptr<Listener> m_listener;
--- a/packages/daemon/src/gate/gatecontext.h
+++ b/packages/daemon/src/gate/gatecontext.h
@@ -22,22 +22,27 @@
 namespace mustardpond {
 
 struct GateContext {
-    GateContext(asio::io_context &io, const Clock &time, Incarnation incarnation, const DaemonSettings &settings,
+    GateContext(asio::io_context &io, const Clock &time, Incarnation self, const DaemonSettings &settings,
                 std::shared_ptr<const UpstreamDialect> upstreamDialect)
         : context(io)
         , clock(time)
+        , incarnation(self)
         , limits(settings.limits)
         , dialect(std::move(upstreamDialect))
         , registry(settings.limits.waitingPerSlot, settings.dialect == Dialect::Own)
         , client(io)
-        , ledger(incarnation, {settings.limits.operations, settings.limits.operationLifetime})
+        , ledger(self, {settings.limits.operations, settings.limits.operationLifetime})
         , slotScheduler(io)
         , streamedSlots(io)
         , operationWaits(io)
+        , runningRequests(time)
         , profile(profileForCost(settings.lateDetectionCost))
         , statistical(settings.detection == Detection::Statistical)
     {
+        runningRequests.setEndedCheck([this](const UpstreamStart &start) { return registry.hasEnded(start); });
     }
+    GateContext(const GateContext &) = delete;
+    GateContext &operator=(const GateContext &) = delete;
 
     UpstreamFailureDetector &detectorOf(const std::string &upstream)
     {
@@ -51,6 +56,7 @@
 
     asio::io_context &context;
     const Clock &clock;
+    Incarnation incarnation; ///< of this process
     DaemonLimits limits;
     std::shared_ptr<const UpstreamDialect> dialect;
     UpstreamRegistry registry;
@@ -60,6 +66,7 @@
     StreamedSlots streamedSlots;
     ByteBudget *byteBudget = nullptr; ///< of the process; null without a router
     OperationWaits operationWaits;
+    RunningRequests runningRequests;
     Quarantine quarantine;
     DetectionProfile profile;
     bool statistical; ///< whether the detectors decide which upstreams fail, instead of their trust level
@@ -69,7 +76,6 @@
     std::uint64_t lastRunNumber = 0;
     std::function<void(std::uint64_t)> reportCrash; ///< reports a request's fingerprint to the other daemons
     bool leaving = false;
-    RunningRequests runningRequests;
     std::size_t pendingRequests = 0; ///< requests that the gate has accepted and not yet answered
 };
 
--- a/packages/daemon/src/gate/gaterun.cpp
+++ b/packages/daemon/src/gate/gaterun.cpp
@@ -200,6 +200,7 @@
 void GateRun::execute(LocalUpstream &upstream, const Yield &yield)
 {
     const Endpoint address = upstream.announced.address;
+    m_upstreamStart = {upstream.announced.id, upstream.announced.born};
     m_startedAt = m_gate.clock.now();
     std::string failure;
     try {
@@ -374,7 +375,7 @@
         request.insert(header->name, header->value);
     }
     m_gate.dialect->setRequestFields({m_servedBy, remaining()}, request);
-    m_runningGuard.emplace(m_gate.runningRequests, m_gate.dialect->requestIdOf(request));
+    m_running = m_gate.runningRequests.begin(m_upstreamStart, m_gate.dialect->requestIdOf(request), m_deadline);
     const bool lengthKnown = !m_request.streamed || m_request.bodyBytes > 0;
     if (lengthKnown) {
         const auto length = m_request.streamed ? m_request.bodyBytes : m_request.body.size();
@@ -460,6 +461,7 @@
     if (more) {
         return relayAnswer(exchange, std::move(answer), std::move(body), yield);
     }
+    m_running.finish();
     answer.body = toBytes(body);
     answer.digest = bodyDigest(answer.body);
     if (isOperation()) {
@@ -496,6 +498,7 @@
     exchange.preventReuse();
     markOperationLost();
     if (notRun) {
+        m_running.finish();
         m_result = AttemptResult::Unjudged;
         wire::AnswerT answer = newAnswer(Outcome::NotRun);
         answer.reason = static_cast<wire::NotRunReason>(classification.reason);
@@ -531,6 +534,7 @@
         chunk.body = toBytes(body);
         m_relay->send(packMessage(std::move(chunk)), std::min(CHANNEL_TIMEOUT, exchangeTimeout()), yield);
     }
+    m_running.finish();
 }
 
 void GateRun::handleExchangeFailure(const Endpoint &address, const std::string &cause, const Yield &yield)
--- a/packages/daemon/src/gate/gaterun.h
+++ b/packages/daemon/src/gate/gaterun.h
@@ -106,7 +106,8 @@
     AttemptResult m_result = AttemptResult::Unjudged;
     std::string m_servedBy;
     std::optional<AnswerRelay> m_relay; ///< of a streamed answer
-    std::optional<RunningRequestGuard> m_runningGuard; ///< while the upstream has the request
+    UpstreamStart m_upstreamStart; ///< that runs the request
+    RunningRequests::Handle m_running; ///< while the upstream has the request
 };
 
 } // namespace mustardpond
--- a/packages/daemon/src/gate/runningrequests.h
+++ b/packages/daemon/src/gate/runningrequests.h
@@ -1,46 +1,66 @@
-/// Callers' requests that upstreams of this host are running, by the id that the caller gave.
+/// Callers' requests that upstreams of this host run, by the id that the caller gave.
 #pragma once
 
+#include "runtable.h"
+#include "upstreamstart.h"
+
+#include "foundation/enumtable.h"
+
+#include <functional>
 #include <string>
-#include <unordered_set>
 
 namespace mustardpond {
 
-/// Not thread-safe. Requests without an id are not counted.
+/// What a gate knows of a request that it may have handed to an upstream.
+enum class RunStatus : std::uint8_t {
+    NotRunning,
+    Running, ///< or may run, as its end was not seen
+    Unknown, ///< an earlier process of the gate may have handed it to an upstream that still runs it
+};
+
+constexpr EnumTable<RunStatus, 3> RUN_STATUS_NAMES = {{
+    {RunStatus::NotRunning, "not-running"},
+    {RunStatus::Running, "running"},
+    {RunStatus::Unknown, "unknown"},
+}};
+
+/// A request counts as running until its upstream has answered it, also after its caller has left or the connection to
+/// the upstream was closed: not every upstream drops a request then. It ends with its deadline or with the upstream's
+/// start at the latest. Not thread-safe.
 class RunningRequests
 {
 public:
-    bool contains(const std::string &id) const
-    {
-        return !id.empty() && m_ids.count(id) > 0;
-    }
+    using Handle = RunTable<UpstreamStart>::Handle;
+    /// Returns whether a start of an upstream is known to have ended.
+    using EndedCheck = std::function<bool(const UpstreamStart &)>;
 
-private:
-    friend class RunningRequestGuard;
+    explicit RunningRequests(const Clock &clock);
 
-    std::unordered_multiset<std::string> m_ids;
-};
-
-/// Registers a request as running for the lifetime of a scope.
-class RunningRequestGuard
-{
-public:
-    RunningRequestGuard(RunningRequests &requests, std::string id)
-        : m_requests(requests)
-        , m_id(std::move(id))
+    void setEndedCheck(EndedCheck check)
     {
-        m_requests.m_ids.insert(m_id);
+        m_hasEnded = std::move(check);
     }
-    ~RunningRequestGuard()
+    Handle begin(const UpstreamStart &upstream, const std::string &id, Millis deadline)
     {
-        m_requests.m_ids.erase(m_requests.m_ids.find(m_id));
+        return m_runs.begin(upstream, id, deadline);
+    }
+    /// Adds a request that an earlier process of this gate has handed to an upstream.
+    void restore(const UpstreamStart &upstream, const RequestKey &key, Millis deadline);
+    /// @param longestTimeout of all requests; the runs of an earlier process end by then
+    RunStatus status(const std::string &id, Millis longestTimeout) const;
+    /// Returns the time since this process has started.
+    Millis age() const
+    {
+        return m_clock.now() - m_startedAt;
     }
-    RunningRequestGuard(const RunningRequestGuard &) = delete;
-    RunningRequestGuard &operator=(const RunningRequestGuard &) = delete;
 
 private:
-    RunningRequests &m_requests;
-    std::string m_id;
+    bool mayRun(const std::string &id) const;
+
+    const Clock &m_clock;
+    Millis m_startedAt;
+    RunTable<UpstreamStart> m_runs;
+    EndedCheck m_hasEnded;
 };
 
 } // namespace mustardpond
--- a/packages/daemon/src/gate/upstreamregistry.cpp
+++ b/packages/daemon/src/gate/upstreamregistry.cpp
@@ -279,6 +279,18 @@
     return found != m_upstreams.end() && found->second.announced.state == UpstreamState::Ready;
 }
 
+bool UpstreamRegistry::hasEnded(const UpstreamStart &start) const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&start](const auto &entry) {
+        const auto &[id, upstream] = entry;
+        const std::uint64_t born = upstream.announced.born;
+        if (id == start.id) {
+            return upstream.superseded || (born != 0 && start.born != 0 && born != start.born);
+        }
+        return start.born != 0 && !upstream.superseded && born > start.born;
+    });
+}
+
 LocalUpstream *UpstreamRegistry::leastLoaded(const std::string &service)
 {
     LocalUpstream *best = nullptr;
--- a/packages/daemon/src/gate/upstreamregistry.h
+++ b/packages/daemon/src/gate/upstreamregistry.h
@@ -5,6 +5,7 @@
 #include "decision/slotqueue.h"
 #include "decision/startchallenge.h"
 #include "membership/member.h"
+#include "upstreamstart.h"
 
 #include <functional>
 #include <map>
@@ -64,6 +65,9 @@
     /// Returns null if there is none.
     LocalUpstream *find(const std::string &id);
     bool isReady(const std::string &id) const;
+    /// Whether a start of an upstream is known to have ended, as another one has announced itself. A start that is not
+    /// known has not.
+    bool hasEnded(const UpstreamStart &start) const;
     /// Returns the ready upstream of a service with the fewest requests per slot, or null if there is none.
     LocalUpstream *leastLoaded(const std::string &service);
     const std::map<std::string, LocalUpstream> &all() const
--- a/packages/daemon/src/router/callerauthentication.cpp
+++ b/packages/daemon/src/router/callerauthentication.cpp
@@ -55,6 +55,9 @@
     if (check.organisation && check.organisation->priority) {
         request.workClass.priority = *check.organisation->priority;
     }
+    if (request.keyRequired && request.mayBeInner) {
+        return KeyProblem::ParentUnknown;
+    }
     return request.keyRequired ? check.problem : KeyProblem::None;
 }
 
@@ -94,6 +97,8 @@
         return "the field Authorization occurs more than once: send it once";
     case KeyProblem::Unknown:
         return "no organisation has this key: send a valid one";
+    case KeyProblem::ParentUnknown:
+        return "this host was started while the request that the id names may have run: send the call again later";
     case KeyProblem::None:
         break;
     }
--- a/packages/daemon/src/router/callerauthentication.h
+++ b/packages/daemon/src/router/callerauthentication.h
@@ -9,19 +9,21 @@
 namespace mustardpond {
 
 /// Why a request is not let through.
-enum class KeyProblem : std::uint8_t { None, Missing, Malformed, Repeated, Unknown };
+enum class KeyProblem : std::uint8_t { None, Missing, Malformed, Repeated, Unknown, ParentUnknown };
 
-constexpr EnumTable<KeyProblem, 5> KEY_PROBLEM_NAMES = {{
+constexpr EnumTable<KeyProblem, 6> KEY_PROBLEM_NAMES = {{
     {KeyProblem::None, "none"},
     {KeyProblem::Missing, "missing"},
     {KeyProblem::Malformed, "malformed"},
     {KeyProblem::Repeated, "repeated"},
     {KeyProblem::Unknown, "unknown"},
+    {KeyProblem::ParentUnknown, "parent-unknown"},
 }};
 
 /// Finds the organisation of a request by its field "Authorization: Bearer KEY" and sets what depends on it: the
-/// organisation and the priority. The request's 'inner' and 'workClass' must be set. Without organisations in the
-/// configuration, and for inner calls, which have no key, nothing changes. Returns None if the request is let through.
+/// organisation and the priority. The request's 'inner', 'mayBeInner' and 'workClass' must be set. Without
+/// organisations in the configuration, and for inner calls, which have no key, nothing changes. Returns None if the
+/// request is let through.
 KeyProblem authenticate(const ConfigSnapshot &config, const RouteObject &route, const http::fields &head,
                         CallerRequest &request);
 
--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -3,6 +3,7 @@
 #include "answerstream.h"
 #include "callerdrain.h"
 #include "callerhead.h"
+#include "callorigin.h"
 #include "inputproblem.h"
 #include "intendedrequest.h"
 
@@ -255,7 +256,9 @@
     request.workClass = *match.workClass;
     request.id = metadata.requestId;
     request.organisation = metadata.organisation;
-    request.inner = isInner(metadata);
+    const CallOrigin origin = originOf(m_router, metadata, *match.route, yield);
+    request.inner = origin == CallOrigin::Upstream;
+    request.mayBeInner = origin == CallOrigin::Unknown;
     if (refuseUnauthenticated(request, *match.route, yield)) {
         return false;
     }
@@ -293,7 +296,9 @@
         return false;
     }
     m_router.refusedKeys().add(problem, request.service, m_router.clock().now());
-    replyProblem(http::status::unauthorized, describe(problem), yield);
+    const bool mayBeKnownLater = problem == KeyProblem::ParentUnknown;
+    const auto status = mayBeKnownLater ? http::status::service_unavailable : http::status::unauthorized;
+    replyProblem(status, describe(problem), yield);
     return true;
 }
 
@@ -325,7 +330,7 @@
 bool CallerSession::refuseLate(const CallerRequest &request, Millis startedAt, const Yield &yield)
 {
     // An operation may have run through another router, so this one cannot answer that it has not run.
-    if (m_router.isAccepting() || !request.operation.empty()) {
+    if (!m_router.isLimitedToStop() || !request.operation.empty()) {
         return false;
     }
     const LateRequest late = lateRequestOf(m_router, request);
@@ -394,13 +399,6 @@
                        [&name](beast::string_view token) { return beast::iequals(token, name); });
 }
 
-bool CallerSession::isInner(const CallerMetadata &metadata) const
-{
-    // Callers share the host's address with the upstream, so the address cannot distinguish them.
-    const auto &isRunningLocally = m_router.dispatchContext().isRunningLocally;
-    return isRunningLocally && isRunningLocally(metadata.parentId);
-}
-
 void CallerSession::watchCaller(const CallerRequest &request, Dispatch &dispatch)
 {
     m_watch.reset();
@@ -489,6 +487,7 @@
                               result.channel.get(),  deadline,
                               m_router.clock(),      m_hold};
         streamAnswer(m_stream, response, std::move(answer), yield);
+        result.streamedRun.finish();
         m_keepOpen = m_keepOpen && response.keep_alive() && (lengthKnown || response.chunked());
     } catch (const std::exception &) {
         // A reset marks the answer as truncated even if its framing gives no length.
--- a/packages/daemon/src/router/callersession.h
+++ b/packages/daemon/src/router/callersession.h
@@ -86,7 +86,6 @@
     CallerLimits callerLimits() const;
     bool isConnectionField(const std::string &name) const;
     /// Whether the call comes from the upstream on this host, on behalf of a request that it is running.
-    bool isInner(const CallerMetadata &metadata) const;
     void replyText(http::response<http::string_body> &response, const Yield &yield);
     bool keepAlive() const;
 
--- a/packages/daemon/src/router/dispatch.cpp
+++ b/packages/daemon/src/router/dispatch.cpp
@@ -478,6 +478,7 @@
         if (attempt.slow) {
             return;
         }
+        settleSentRun(run);
         if (attempt.answer.streamed) {
             m_result.channel = std::move(run.channel);
         } else {
@@ -494,6 +495,19 @@
     if (!attempt.withdrawn) {
         m_shared.pool.drop(run.ref.gate);
     }
+    const bool closedHere = attempt.withdrawn || attempt.silent || isCancelledOrExpired();
+    if (attempt.sent && !closedHere && m_shared.runReporter) {
+        m_shared.runReporter->onConnectionLost(run.ref.gate);
+    }
+}
+
+void Dispatch::settleSentRun(Run &run)
+{
+    if (run.attempt.answer.streamed) {
+        m_result.streamedRun = std::move(run.sentRun);
+    } else if (run.attempt.answer.outcome != wire::Outcome::Unknown) {
+        run.sentRun.finish();
+    }
 }
 
 Dispatch::Attempt Dispatch::finishRun(Run run)
@@ -670,6 +684,10 @@
     const std::uint64_t number = run.start.attempt;
     run.attempt.sent = true;
     m_sentTo.insert(run.ref.id);
+    if (m_shared.runReporter) {
+        const RunPlace place{run.ref.gate, run.ref.incarnation, {run.ref.id, run.ref.born}};
+        run.sentRun = m_shared.runReporter->runs().begin(place, m_request.id, m_request.deadline);
+    }
     channel.send(packMessage(message(run.ref, number)), SEND_TIMEOUT, yield);
     if (m_request.source) {
         sendStream(channel, number, run.attempt, yield);
--- a/packages/daemon/src/router/dispatch.h
+++ b/packages/daemon/src/router/dispatch.h
@@ -8,6 +8,8 @@
 #include "gatepool.h"
 #include "metrics.h"
 #include "routingtable.h"
+#include "runningrequests.h"
+#include "runreporter.h"
 
 #include "foundation/clock.h"
 
@@ -30,6 +32,7 @@
     std::string operation; ///< empty when the caller has opened none
     std::string id; ///< request id set by the caller; empty when there is none
     bool inner = false; ///< a call of an upstream on behalf of a request that it is running
+    bool mayBeInner = false; ///< without a key, and the request that it names is not known to run or to have ended
     std::string method;
     std::string target;
     std::vector<std::unique_ptr<wire::HeaderT>> headers;
@@ -44,6 +47,7 @@
 struct DispatchResult {
     wire::AnswerT answer;
     std::unique_ptr<FrameChannel> channel; ///< rest of a streamed answer
+    SentRun streamedRun; ///< of a streamed answer, which goes on until the channel has delivered its rest
     std::string upstream;
     bool retried = false;
     Distance distance = Distance::SameDataCentre; ///< of the upstream that answered
@@ -73,8 +77,9 @@
     bool moveSlowRequests = false;
     /// Returns the quarantine status of a request by its fingerprint; null without a gate in the process.
     std::function<QuarantineStatus(std::uint64_t)> quarantineStatus;
-    /// Whether the router's local upstream is running the request with this id; null without a gate in the process.
-    std::function<bool(const std::string &)> isRunningLocally;
+    /// Requests that the router's local upstream runs; null without a gate in the process.
+    const RunningRequests *running = nullptr;
+    RunReporter *runReporter = nullptr; ///< null in tests
 };
 
 class Dispatch
@@ -120,6 +125,7 @@
         Millis startedAt;
         Attempt attempt;
         std::unique_ptr<FrameChannel> channel;
+        SentRun sentRun; ///< set when the request has been sent
         bool answerBegins = false; ///< noticed while a replacement was looked for
     };
 
@@ -167,6 +173,8 @@
     Attempt attemptOnce(const UpstreamRef &ref, bool freshChannel, const Yield &yield);
     /// Runs a step of an attempt. A failure is recorded in the attempt, not thrown.
     void runStep(Run &run, const std::function<void()> &step);
+    /// Ends the record of the attempt's run, unless the upstream may go on with it.
+    void settleSentRun(Run &run);
     /// Reports an attempt that has ended. A slow one is kept in m_slowRun instead.
     Attempt finishRun(Run run);
     void exchange(Run &run, const Yield &yield);
--- a/packages/daemon/src/router/router.cpp
+++ b/packages/daemon/src/router/router.cpp
@@ -35,10 +35,11 @@
     , m_keyAdmission(settings.keys)
     , m_pool(context, settings.bindAddress, MAX_GATE_IDLE)
     , m_lastRequestNumber(random.next())
+    , m_runReporter(context, clock, m_pool, m_lastRequestNumber)
     , m_dispatch{context,          clock,        m_table,
                  m_pool,           m_metrics,    m_lastRequestNumber,
                  settings.refusal, std::nullopt, settings.detection == Detection::Gates,
-                 nullptr,          nullptr}
+                 nullptr,          nullptr,      &m_runReporter}
     , m_listener(std::make_shared<Listener>(context, settings.caller,
                                             [this](tcp::socket socket, const Yield &yield) {
                                                 if (!makeRoom()) {
--- a/packages/daemon/src/router/router.h
+++ b/packages/daemon/src/router/router.h
@@ -11,6 +11,7 @@
 #include "net/listener.h"
 #include "quotaclient.h"
 #include "refusedkeys.h"
+#include "runreporter.h"
 
 #include "foundation/kernel.h"
 
@@ -38,6 +39,7 @@
 
     void update(std::shared_ptr<const FleetView> view)
     {
+        m_runReporter.update(*view);
         m_table.update(std::move(view), m_clock.now());
     }
     /// Limits the requests of organisations from now on.
@@ -62,16 +64,19 @@
     void abortPending();
     /// Whether a request is being read or served.
     bool isBusy() const;
-    /// Accepts the connections in the backlog and stops listening. On open connections, requests are still served if
-    /// they end before the stop.
-    void stopAccepting(const Yield &yield)
+    /// From now on, serves only requests that end before the stop.
+    void limitToStop()
     {
-        m_accepting = false;
-        m_listener->drain(yield);
+        m_limitedToStop = true;
+    }
+    bool isLimitedToStop() const
+    {
+        return m_limitedToStop;
     }
-    bool isAccepting() const
+    /// Accepts the connections in the backlog and stops listening.
+    void stopAccepting(const Yield &yield)
     {
-        return m_accepting;
+        m_listener->drain(yield);
     }
     bool isLeaving() const
     {
@@ -197,6 +202,7 @@
     RefusedKeys m_refusedKeys{m_metrics};
     BurnMeter m_burn;
     std::uint64_t m_lastRequestNumber = 0;
+    RunReporter m_runReporter;
     DispatchContext m_dispatch;
     std::shared_ptr<Listener> m_listener;
     BodyBudget m_bodyBudget;
@@ -205,7 +211,7 @@
     std::unique_ptr<QuotaClient> m_quota;
     std::set<CallerSession *> m_sessions;
     bool m_leaving = false;
-    bool m_accepting = true;
+    bool m_limitedToStop = false;
     bool m_stopped = false;
 };
 
--- a/packages/daemon/test/callerauthentication_test.cpp
+++ b/packages/daemon/test/callerauthentication_test.cpp
@@ -111,6 +111,15 @@
     EXPECT_EQ(m_request.workClass.priority, 5);
 }
 
+// A call was denied for good when its parent ran since before the start of this process.
+TEST_F(CallerAuthenticationTest, ACallWhoseParentIsUnknownIsNotDeniedForGood)
+{
+    m_request.mayBeInner = true;
+    EXPECT_EQ(check({}), KeyProblem::ParentUnknown);
+    m_route.keyExempt = true;
+    EXPECT_EQ(check({}), KeyProblem::None);
+}
+
 // A caller could otherwise use operations of another organisation.
 TEST_F(CallerAuthenticationTest, TheKeyDecidesAgainstTheOrganisationThatTheCallerNames)
 {
--- a/packages/daemon/test/upstreamregistry_test.cpp
+++ b/packages/daemon/test/upstreamregistry_test.cpp
@@ -302,6 +302,26 @@
     EXPECT_EQ(published, 0);
 }
 
+TEST_F(UpstreamRegistryTest, AStartHasEndedOnceAnotherOneIsKnown)
+{
+    EXPECT_FALSE(m_registry.hasEnded({"a", 100})) << "nothing is known";
+    announce(makeAnnouncement("a", UpstreamState::Ready, 1, 100));
+    EXPECT_FALSE(m_registry.hasEnded({"a", 100}));
+    EXPECT_TRUE(m_registry.hasEnded({"a", 50})) << "the id was started again";
+    EXPECT_TRUE(m_registry.hasEnded({"b", 50})) << "another id was started later on this host";
+    announce(makeAnnouncement("c", UpstreamState::Ready, 1, 200));
+    EXPECT_TRUE(m_registry.hasEnded({"a", 100}));
+    EXPECT_FALSE(m_registry.hasEnded({"c", 200}));
+}
+
+// An upstream goes on for a while with what it runs after it has deregistered.
+TEST_F(UpstreamRegistryTest, ADeregisteredStartHasNotEnded)
+{
+    announce(makeAnnouncement("a", UpstreamState::Ready, 1, 100));
+    announce(makeDeregistration("a"));
+    EXPECT_FALSE(m_registry.hasEnded({"a", 100}));
+}
+
 TEST_F(UpstreamRegistryTest, InfosIncludeOnlyRestoredDeregistrations)
 {
     m_registry.restore({"a", "sicil", UpstreamState::Ready, 5, 100, 6});
--- a/packages/foundation/include/foundation/events.h
+++ b/packages/foundation/include/foundation/events.h
@@ -56,6 +56,8 @@
     RequestLate = 703,
     RequestLeft = 704,
     RequestAnswered = 705,
+    RunsReported = 710,
+    RunsRestored = 711,
     QuotaExceeded = 720,
     LenderUnreachable = 721,
     LenderSubstituted = 722,
@@ -65,7 +67,7 @@
     AddressBusy = 106,
 };
 
-constexpr EnumTable<Event, 53> EVENT_NAMES = {{
+constexpr EnumTable<Event, 55> EVENT_NAMES = {{
     {Event::Started, "started"},
     {Event::Stopping, "stopping"},
     {Event::Stopped, "stopped"},
@@ -112,6 +114,8 @@
     {Event::RequestLate, "request-late"},
     {Event::RequestLeft, "request-left"},
     {Event::RequestAnswered, "request-answered"},
+    {Event::RunsReported, "runs-reported"},
+    {Event::RunsRestored, "runs-restored"},
     {Event::QuotaExceeded, "quota-exceeded"},
     {Event::LenderUnreachable, "lender-unreachable"},
     {Event::LenderSubstituted, "lender-substituted"},
