Keys: a request with a key is a caller's, whatever its id

Cause: the id alone made a request an upstream's own call; its key was not looked at.

Change: a request with the field Authorization is never taken for an upstream's call. Upstreams have no keys, as the router does not pass them on.

--- a/packages/daemon/src/router/callersession.cpp
+++ b/packages/daemon/src/router/callersession.cpp
@@ -256,7 +256,7 @@
     request.workClass = *match.workClass;
     request.id = metadata.requestId;
     request.organisation = metadata.organisation;
-    const CallOrigin origin = originOf(m_router, metadata, *match.route, yield);
+    const CallOrigin origin = originOf(m_router, metadata, *match.route, head, yield);
     request.inner = origin == CallOrigin::Upstream;
     request.mayBeInner = origin == CallOrigin::Unknown;
     if (refuseUnauthenticated(request, *match.route, yield)) {
--- a/packages/daemon/src/router/callorigin.cpp
+++ b/packages/daemon/src/router/callorigin.cpp
@@ -36,10 +36,11 @@
 
 } // namespace
 
-CallOrigin originOf(Router &router, const CallerMetadata &metadata, const RouteObject &route, const Yield &yield)
+CallOrigin originOf(Router &router, const CallerMetadata &metadata, const RouteObject &route, const http::fields &head,
+                    const Yield &yield)
 {
     const RunningRequests *running = router.dispatchContext().running;
-    if (!running || metadata.parentId.empty()) {
+    if (!running || metadata.parentId.empty() || head.count(http::field::authorization) > 0) {
         return CallOrigin::Caller;
     }
     const auto config = router.view().config;
--- a/packages/daemon/src/router/callorigin.h
+++ b/packages/daemon/src/router/callorigin.h
@@ -22,9 +22,10 @@
     {CallOrigin::Unknown, "unknown"},
 }};
 
-/// Where it depends on
+/// A request with a key is a caller's, as upstreams do not have the keys: they are not passed on. Where it depends on
 /// the origin whether a request is served, waits for a short time after the start, in which routers tell the gate what
 /// they have sent to an earlier process of it.
-CallOrigin originOf(Router &router, const CallerMetadata &metadata, const RouteObject &route, const Yield &yield);
+CallOrigin originOf(Router &router, const CallerMetadata &metadata, const RouteObject &route, const http::fields &head,
+                    const Yield &yield);
 
 } // namespace mustardpond
