Quotas: a lender learns from its voters that others have lent in its place

Cause: the lender got its lease back without learning that another member had lent meanwhile, and went on with its own account, which had refilled.

Change: voters remember until when others may have lent in place of a member (LenderVotes) and say so with the lease (QuotaReply.replacedMs, sent only then); the lender's account counts as empty from then on (LenderTerm). An idle lender whose lease ran out keeps its account.

--- a/packages/daemon/src/quota/lenderelection.cpp
+++ b/packages/daemon/src/quota/lenderelection.cpp
@@ -37,6 +37,7 @@
         m_countsRegistered = true;
         m_majority.addRegistered(m_directory->registered()->neighbours, now);
     }
+    m_votes.update(m_directory->membersOf(m_directory->dataCentre()), now);
     m_majority.update(m_directory->aliveNeighbours(), m_directory->leftNeighbours(), now);
     for (auto entry = m_substitutions.begin(); entry != m_substitutions.end();) {
         const bool ended = !entry->second.voting && !m_directory->contains(entry->first);
@@ -76,7 +77,9 @@
         const auto isEnough = [&](const QuotaPeers::Replies &replies) {
             return isMajority(own + countVotes(replies), voters.size());
         };
-        confirmed = isEnough(m_peers.askAll(addresses, question, VOTE_TIMEOUT, isEnough, yield));
+        const QuotaPeers::Replies replies = m_peers.askAll(addresses, question, VOTE_TIMEOUT, isEnough, yield);
+        confirmed = isEnough(replies);
+        learnTerm(replies);
     }
     if (confirmed) {
         m_lease.confirm(sentAt);
@@ -85,6 +88,16 @@
     m_renewed.notifyAll();
 }
 
+void LenderElection::learnTerm(const QuotaPeers::Replies &replies)
+{
+    const Millis now = m_clock.now();
+    for (const auto &reply : replies) {
+        if (reply && !reply->unavailable && reply->replacedMs >= 0) {
+            m_term.onReplaced(now - Millis(reply->replacedMs));
+        }
+    }
+}
+
 std::optional<Millis> LenderElection::substitutionOf(const std::string &lender, const Yield &yield)
 {
     const Millis now = m_clock.now();
@@ -156,7 +169,11 @@
     reply.request = question.request;
     if (question.unreachable.empty()) {
         const std::string &lender = question.organisation;
-        reply.unavailable = !m_directory->contains(lender) || m_votes.denies(lender, m_clock.now());
+        const Millis now = m_clock.now();
+        reply.unavailable = !m_directory->contains(lender) || m_votes.denies(lender, now);
+        if (const auto replacedUntil = m_votes.replacedUntil(lender, now)) {
+            reply.replacedMs = std::max(0.0, (now - *replacedUntil).value);
+        }
         return reply;
     }
     const std::string &lender = question.unreachable;
--- a/packages/daemon/src/quota/lenderelection.h
+++ b/packages/daemon/src/quota/lenderelection.h
@@ -36,6 +36,12 @@
     /// Whether a majority of the voters has confirmed this process within the lease. Renews the lease in time; waits
     /// only if it has ended.
     bool holdsLease(const Yield &yield);
+    /// Returns until when another member may have admitted requests in place of this process; zero if none is known to
+    /// have. To be asked while the lease is held.
+    Millis replacedUntil() const
+    {
+        return m_term.since();
+    }
     /// Returns from when on this process may admit requests in place of a lender that no voter reaches; nothing while
     /// it may not.
     std::optional<Millis> substitutionOf(const std::string &lender, const Yield &yield);
@@ -57,6 +63,8 @@
     };
 
     void renewLease(const Yield &yield);
+    /// Learns from the replies of voters whether others have lent in place of this process.
+    void learnTerm(const QuotaPeers::Replies &replies);
     void vote(const std::string &lender, const Yield &yield);
     void finishVote(const std::string &lender, bool reached, bool confirmed, Millis sentAt);
 
@@ -67,6 +75,7 @@
     LenderMajority m_majority;
     bool m_countsRegistered = false; ///< whether the hosts that the store listed have been added
     LenderLease m_lease;
+    LenderTerm m_term;
     LenderVotes m_votes;
     bool m_renewing = false;
     SharedWait m_renewed;
--- a/packages/daemon/src/quota/quotalender.cpp
+++ b/packages/daemon/src/quota/quotalender.cpp
@@ -67,9 +67,10 @@
         reply.redirect = m_directory->addressOf(lender);
         return reply;
     }
-    Millis since = m_terms.since(organisation->name);
+    Millis since;
     if (m_terms.isLender(organisation->name)) {
         reply.unavailable = !m_election.holdsLease(yield);
+        since = termOf(organisation->name);
         if (reply.unavailable && m_directory->isLeaving()) {
             reply.unavailable = false;
             reply.redirect = m_directory->addressOf(m_terms.lenderOf(organisation->name, lender));
@@ -80,7 +81,7 @@
     } else {
         const auto substitute = m_election.substitutionOf(request.unreachable, yield);
         reply.unavailable = !substitute;
-        since = std::max(since, substitute.value_or(since));
+        since = std::max(m_terms.since(organisation->name), substitute.value_or(Millis()));
     }
     if (reply.unavailable) {
         reportUnavailable(organisation->name, "not confirmed by a majority of the data centre");
@@ -163,6 +164,11 @@
     return result;
 }
 
+Millis QuotaLender::termOf(const std::string &organisation) const
+{
+    return std::max(m_terms.since(organisation), m_election.replacedUntil());
+}
+
 void QuotaLender::forgetUnused(Millis now)
 {
     if (now < m_nextSweep) {
@@ -268,7 +274,7 @@
     const bool lends = organisation && organisation->ratePerSecond > 0 && m_terms.isLender(organisation->name)
         && mayLend(organisation->name) && m_election.holdsLease(yield);
     if (lends) {
-        const EntryPointer entry = entryOf(*organisation, m_terms.since(organisation->name));
+        const EntryPointer entry = entryOf(*organisation, termOf(organisation->name));
         loan.tokens = entry->account.lend(request.wanted, m_clock.now());
     }
     return loan;
--- a/packages/daemon/src/quota/quotalender.h
+++ b/packages/daemon/src/quota/quotalender.h
@@ -76,6 +76,8 @@
     std::optional<wire::QuotaReplyT> relay(const wire::QuotaRequestT &request, const Yield &yield);
     bool mayLend(const std::string &organisation);
     void reportUnavailable(const std::string &organisation, const char *cause);
+    /// Returns since when this process has been the only lender of an organisation, provided that it holds the lease.
+    Millis termOf(const std::string &organisation) const;
     EntryPointer entryOf(const Organisation &organisation, Millis since);
     QuotaShare shareOf(const Organisation &organisation) const;
     void forgetUnused(Millis now);
--- a/packages/decision/include/decision/lenderlease.h
+++ b/packages/decision/include/decision/lenderlease.h
@@ -4,6 +4,7 @@
 #include "foundation/clock.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -45,16 +46,41 @@
     Millis m_confirmedAt;
 };
 
-/// What a voter has promised to members that lend in place of one that the voter could not reach.
+/// What a voter has promised to members that lend in place of one that the voter could not reach. A member that was
+/// suspended does not know that others have lent in its place, so its voters tell it: any two majorities of them have a
+/// member in common.
 class LenderVotes
 {
 public:
     /// Confirms the member no more until the lease of the one that takes its place has ended.
     void deny(const std::string &node, Millis now);
     bool denies(const std::string &node, Millis now) const;
+    /// Takes over the members that accept requests. Others lend in place of one that is missing.
+    void update(const std::set<std::string> &members, Millis now);
+    /// Returns the time until which others may have lent in place of the member; nothing if they have not within the
+    /// last ten minutes.
+    std::optional<Millis> replacedUntil(const std::string &node, Millis now) const;
 
 private:
-    std::map<std::string, Millis> m_deniedUntil;
+    std::map<std::string, Millis> m_replacedUntil;
+    std::set<std::string> m_members;
+    std::set<std::string> m_missing; ///< members before
+};
+
+/// Since when a lender has lent without another one in its place, by what its voters tell it.
+class LenderTerm
+{
+public:
+    /// @param ended end of the time in which another member may have lent, which varies with the transit of the message
+    void onReplaced(Millis ended);
+    /// Returns zero if no other member is known to have lent.
+    Millis since() const
+    {
+        return m_since;
+    }
+
+private:
+    Millis m_since;
 };
 
 } // namespace mustardpond
--- a/packages/wire/src/framecheck.cpp
+++ b/packages/wire/src/framecheck.cpp
@@ -85,6 +85,7 @@
         require(isValidAmount(reserve->weight), "weight");
     } else if (const auto *reply = frame.body.AsQuotaReply()) {
         require(isValidDuration(reply->retryAfterMs), "retryAfterMs");
+        require(reply->replacedMs < 0 || isValidDuration(reply->replacedMs), "replacedMs");
     } else if (const auto *borrow = frame.body.AsQuotaBorrow()) {
         require(isValidAmount(borrow->wanted), "wanted");
     } else if (const auto *loan = frame.body.AsQuotaLoan()) {
