--- a/packages/config/include/config/configsnapshot.h
+++ b/packages/config/include/config/configsnapshot.h
@@ -53,6 +53,11 @@
     {
         return m_workClasses;
     }
+    /// Returns the longest deadline of all classes of work; zero without any.
+    Millis longestDeadline() const
+    {
+        return m_longestDeadline;
+    }
     std::size_t routeCount() const
     {
         return m_routeCount;
@@ -81,6 +86,7 @@
     std::shared_ptr<const OrganisationTable> m_organisations;
     std::vector<ApprovedRefusal> m_refusals;
     std::unordered_map<std::string, ObjectVersion> m_versions;
+    Millis m_longestDeadline;
     std::size_t m_routeCount = 0;
     ObjectVersion m_newestVersion;
 };
--- a/packages/config/src/configsnapshot.cpp
+++ b/packages/config/src/configsnapshot.cpp
@@ -183,6 +183,9 @@
     auto snapshot = std::make_shared<ConfigSnapshot>();
     snapshot->m_services = m_services;
     snapshot->m_workClasses = m_workClasses;
+    for (const auto &[name, workClass] : m_workClasses) {
+        snapshot->m_longestDeadline = std::max(snapshot->m_longestDeadline, workClass.deadline);
+    }
     snapshot->m_versions = m_versions;
     for (const auto &[object, version] : m_versions) {
         if (supersedes(version, snapshot->m_newestVersion)) {
--- a/packages/config/test/objects_test.cpp
+++ b/packages/config/test/objects_test.cpp
@@ -50,6 +50,15 @@
     EXPECT_EQ(m_builder.build()->versions().at("class/lookup"), 1U);
 }
 
+TEST_F(ConfigBuilderTest, LongestDeadlineIsThatOfAllClasses)
+{
+    EXPECT_EQ(ConfigBuilder(nullptr).build()->longestDeadline(), Millis());
+    EXPECT_EQ(m_builder.build()->longestDeadline(), Millis(3000));
+    m_builder.apply({"class", "long", 1, false,
+                     R"({"kind":"idempotent","latencyTargetMs":150,"successTarget":0.99,"deadlineMs":9000})"});
+    EXPECT_EQ(m_builder.build()->longestDeadline(), Millis(9000));
+}
+
 TEST_F(ConfigBuilderTest, OnlyApprovedRefusalsAreInForce)
 {
     const std::string documentStart =
--- a/packages/daemon/src/router/callorigin.cpp
+++ b/packages/daemon/src/router/callorigin.cpp
@@ -2,8 +2,6 @@
 
 #include "router.h"
 
-#include <algorithm>
-
 namespace mustardpond {
 
 namespace {
@@ -12,15 +10,6 @@
 constexpr Millis MAX_WAIT{1000};
 constexpr Millis CHECK_INTERVAL{20};
 
-Millis longestTimeout(const ConfigSnapshot &config)
-{
-    Millis longest;
-    for (const auto &[name, workClass] : config.workClasses()) {
-        longest = std::max(longest, workClass.deadline);
-    }
-    return longest;
-}
-
 CallOrigin originOf(RunStatus status)
 {
     switch (status) {
@@ -44,7 +33,7 @@
         return CallOrigin::Caller;
     }
     const auto config = router.view().config;
-    const Millis timeout = longestTimeout(*config);
+    const Millis timeout = config->longestDeadline();
     const auto currentOrigin = [running, &metadata, timeout] {
         return originOf(running->status(metadata.parentId, timeout));
     };
