--- a/packages/daemon/src/gate/gate.cpp
+++ b/packages/daemon/src/gate/gate.cpp
@@ -142,7 +142,7 @@
     reply.request = report.request;
     reply.incarnationHigh = m_gate.incarnation.high;
     reply.incarnationLow = m_gate.incarnation.low;
-    channel.send(packMessage(std::move(reply)), SEND_TIMEOUT, yield);
+    channel.send(packMessage(reply), SEND_TIMEOUT, yield);
 }
 
 void Gate::openOperation(FrameChannel &channel, const wire::OpenOperationT &request, const Yield &yield)
